--- /dev/null
+++ b/src/common/SystemClock.ts
@@ -0,0 +1,12 @@
+import type { Clock } from './Types';
+
+/** The clock of the operating system. */
+export default class SystemClock implements Clock {
+  public now(): number {
+    return performance.now();
+  }
+
+  public wallTime(): number {
+    return Date.now();
+  }
+}
--- /dev/null
+++ b/src/connection/Gossip.ts
@@ -0,0 +1,74 @@
+import type { Clock, Disposable } from '../common/Types';
+import Outbox from './Outbox';
+import type { Beat, HeadTracker, Membership, MemberRecord } from './Types';
+
+/**
+ * Spreads member records over every open connection, whoever opened it, except back to the one
+ * that they came from.
+ */
+export default class Gossip implements Disposable {
+  private readonly outboxes = new Set<Outbox>();
+
+  private readonly subscriptions: readonly Disposable[];
+
+  private source: Outbox | undefined;
+
+  public constructor(
+    private readonly members: Membership,
+    private readonly heads: HeadTracker,
+    private readonly clock: Clock,
+  ) {
+    this.subscriptions = [
+      members.onChange((records) => this.spread(records)),
+      heads.onAdvance(() => this.wakeAll()),
+    ];
+  }
+
+  /** @returns The outbox of a new connection; dispose of it with {@link Gossip.close}. */
+  public open(): Outbox {
+    const outbox = new Outbox();
+    this.outboxes.add(outbox);
+    return outbox;
+  }
+
+  /** @param outbox - Of a connection that ended. */
+  public close(outbox: Outbox): void {
+    this.outboxes.delete(outbox);
+  }
+
+  /**
+   * Takes in what came over a connection.
+   *
+   * @param records - Member records.
+   * @param source - Outbox of that connection, if it has one.
+   */
+  public receive(records: readonly MemberRecord[], source?: Outbox): void {
+    this.source = source;
+    try {
+      this.members.merge(records);
+    } finally {
+      this.source = undefined;
+    }
+  }
+
+  /** @returns What this daemon knows, for a heartbeat. */
+  public beat(): Beat {
+    const { version, through, confirmedAt } = this.heads.knowledge;
+    const { id, incarnation } = this.members.self;
+    const ageMs = confirmedAt === undefined ? null : Math.round(this.clock.now() - confirmedAt);
+    return { from: id, incarnation, version, through, ageMs, members: this.members.digest() };
+  }
+
+  public dispose(): void {
+    for (const subscription of this.subscriptions) subscription.dispose();
+    this.outboxes.clear();
+  }
+
+  private spread(records: readonly MemberRecord[]): void {
+    for (const outbox of this.outboxes) if (outbox !== this.source) outbox.put(records);
+  }
+
+  private wakeAll(): void {
+    for (const outbox of this.outboxes) outbox.wake();
+  }
+}
--- /dev/null
+++ b/src/connection/HttpLog.ts
@@ -0,0 +1,145 @@
+import { Agent, buildConnector, request } from 'undici';
+import { z } from 'zod';
+import type { Address, Disposable, Offset } from '../common/Types';
+import LogExpiredError from './LogExpiredError';
+import LogRefusedError from './LogRefusedError';
+import LogUnavailableError from './LogUnavailableError';
+import LogUnknownOutcomeError from './LogUnknownOutcomeError';
+import type SocketMeter from './SocketMeter';
+import type { Log, LogBatch, LogBounds, StreamName } from './Types';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const ANSWER_TIMEOUT_MS = 5_000;
+const NEVER_SENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const offset = z.int().transform((value) => value as Offset);
+const boundsSchema = z.object({ earliest: offset, next: offset });
+const batchSchema = boundsSchema.extend({
+  records: z.array(z.object({ offset, data: z.string() })),
+});
+const appendedSchema = z.object({ offset });
+const expiredSchema = z.object({ earliest: offset });
+
+interface Response {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+interface Exchange {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: string;
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+function errorCode(error: unknown): string {
+  return (error as { code?: string }).code ?? String(error);
+}
+
+/** Speaks to the log service over HTTP; nothing outside this class knows its protocol. */
+export default class HttpLog implements Log, Disposable {
+  private readonly agent: Agent;
+
+  /**
+   * @param address - Where the log service listens.
+   * @param streamPrefix - Put before the names of the streams.
+   * @param meter - Counts the bytes.
+   */
+  public constructor(
+    private readonly address: Address,
+    private readonly streamPrefix: string,
+    meter: SocketMeter,
+  ) {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    this.agent = new Agent({
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          if (result[1]) meter.track(result[1]);
+          callback(...result);
+        }),
+    });
+  }
+
+  public async append(stream: StreamName, data: string): Promise<Offset> {
+    let response: Response;
+    try {
+      response = await this.exchange({
+        method: 'POST',
+        path: this.path(stream),
+        body: data,
+        timeoutMs: ANSWER_TIMEOUT_MS,
+      });
+    } catch (error) {
+      const code = errorCode(error);
+      if (NEVER_SENT_CODES.has(code)) throw new LogUnavailableError(`append not sent: ${code}`);
+      throw new LogUnknownOutcomeError(`append without an answer: ${code}`);
+    }
+    const { status, body } = response;
+    if (status === 503) throw new LogUnavailableError('append turned away');
+    if (status >= 400 && status < 500) {
+      throw new LogRefusedError(`append refused with status ${status}`);
+    }
+    const appended = appendedSchema.safeParse(body);
+    if (!appended.success) {
+      throw new LogUnknownOutcomeError(`append answered with status ${status}`);
+    }
+    return appended.data.offset;
+  }
+
+  public async read(
+    stream: StreamName,
+    from: Offset,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<LogBatch> {
+    const { status, body } = await this.query(
+      `${this.path(stream)}?from=${from}&wait=${waitMs}`,
+      waitMs + ANSWER_TIMEOUT_MS,
+      signal,
+    );
+    if (status === 410) throw new LogExpiredError(expiredSchema.parse(body).earliest);
+    const batch = batchSchema.safeParse(body);
+    if (!batch.success) throw new LogUnavailableError(`read answered with status ${status}`);
+    return batch.data;
+  }
+
+  public async bounds(stream: StreamName): Promise<LogBounds> {
+    const { status, body } = await this.query(`${this.path(stream)}/bounds`, ANSWER_TIMEOUT_MS);
+    const bounds = boundsSchema.safeParse(body);
+    if (!bounds.success) throw new LogUnavailableError(`bounds answered with status ${status}`);
+    return bounds.data;
+  }
+
+  public dispose(): void {
+    void this.agent.destroy();
+  }
+
+  private path(stream: StreamName): string {
+    return `/streams/${this.streamPrefix}${stream}`;
+  }
+
+  private async query(path: string, timeoutMs: number, signal?: AbortSignal): Promise<Response> {
+    try {
+      return await this.exchange({ method: 'GET', path, timeoutMs, signal });
+    } catch (error) {
+      throw new LogUnavailableError(`read failed: ${errorCode(error)}`);
+    }
+  }
+
+  private async exchange(exchange: Exchange): Promise<Response> {
+    const timeout = AbortSignal.timeout(exchange.timeoutMs);
+    const { statusCode, body } = await request(`http://${this.address}${exchange.path}`, {
+      method: exchange.method,
+      body: exchange.body,
+      dispatcher: this.agent,
+      signal: exchange.signal ? AbortSignal.any([exchange.signal, timeout]) : timeout,
+    });
+    return { status: statusCode, body: await body.json() };
+  }
+}
--- /dev/null
+++ b/src/connection/PeerAsker.ts
@@ -0,0 +1,68 @@
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
+import { Agent, buildConnector, fetch } from 'undici';
+import type { Address, DaemonId } from '../common/Types';
+import PEER_PATH from './peerPath';
+import type { PeerRouter } from './peerRouter';
+import type SocketMeter from './SocketMeter';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const ASK_TIMEOUT_MS = 1_500;
+
+/** Asks a peer once, on a connection of its own, so that no older connection's silence matters. */
+export default class PeerAsker {
+  private readonly connect: buildConnector.connector;
+
+  /** @param meter - Counts the bytes. */
+  public constructor(meter: SocketMeter) {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    this.connect = (options, callback) =>
+      connect(options, (...result) => {
+        if (result[1]) meter.track(result[1]);
+        callback(...result);
+      });
+  }
+
+  /**
+   * @param address - The peer's address for other daemons.
+   * @param question - What to ask.
+   * @returns The answer.
+   * @throws Whatever the question's call throws, a time-out included.
+   */
+  public async ask<Answer>(
+    address: Address,
+    question: (client: TRPCClient<PeerRouter>, signal: AbortSignal) => Promise<Answer>,
+  ): Promise<Answer> {
+    const agent = new Agent({ connect: this.connect, pipelining: 1 });
+    const client = createTRPCClient<PeerRouter>({
+      links: [
+        httpLink({
+          url: `http://${address}${PEER_PATH}`,
+          fetch: (url, options) =>
+            fetch(url as string, { ...(options as object), dispatcher: agent }) as never,
+        }),
+      ],
+    });
+    try {
+      return await question(client, AbortSignal.timeout(ASK_TIMEOUT_MS));
+    } finally {
+      void agent.destroy();
+    }
+  }
+
+  /**
+   * @param id - The member that should answer.
+   * @param address - Where.
+   * @returns Whether it did.
+   */
+  public async reach(id: DaemonId, address: Address): Promise<boolean> {
+    try {
+      return (
+        (await this.ask(address, (client, signal) =>
+          client.identity.query(undefined, { signal }),
+        )) === id
+      );
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/connection/PeerConnection.ts
@@ -0,0 +1,47 @@
+import { createTRPCClient, createWSClient, wsLink, type TRPCClient } from '@trpc/client';
+import type { WebSocket } from 'ws';
+import type { Address, Disposable } from '../common/Types';
+import meteredSocket from './meteredSocket';
+import PEER_PATH from './peerPath';
+import type { PeerRouter } from './peerRouter';
+import type SocketMeter from './SocketMeter';
+
+const NEVER_MS = 2 ** 31 - 1;
+
+/** One WebSocket connection to a peer; it isn't reopened when it ends. */
+export default class PeerConnection implements Disposable {
+  public readonly client: TRPCClient<PeerRouter>;
+
+  /** Aborted once the connection has ended, whoever ended it. */
+  public readonly ended: AbortSignal;
+
+  private readonly end = new AbortController();
+
+  private readonly sockets: WebSocket[] = [];
+
+  private readonly closeClient: () => void;
+
+  /**
+   * @param address - The peer's address for other daemons.
+   * @param meter - Counts the bytes.
+   */
+  public constructor(address: Address, meter: SocketMeter) {
+    this.ended = this.end.signal;
+    const { sockets } = this;
+    const wsClient = createWSClient({
+      url: `ws://${address}${PEER_PATH}`,
+      WebSocket: meteredSocket(meter, (socket) => sockets.push(socket)),
+      retryDelayMs: () => NEVER_MS,
+      onClose: () => this.end.abort(),
+    });
+    this.closeClient = () => void wsClient.close().catch(() => undefined);
+    this.client = createTRPCClient<PeerRouter>({ links: [wsLink({ client: wsClient })] });
+  }
+
+  public dispose(): void {
+    this.end.abort();
+    this.closeClient();
+    // A silent connection never completes the closing handshake.
+    for (const socket of this.sockets) socket.terminate();
+  }
+}
--- /dev/null
+++ b/src/connection/PeerHeadTracker.ts
@@ -0,0 +1,100 @@
+import Emitter from '../common/Emitter';
+import type { Clock, Disposable, Offset, VersionNumber } from '../common/Types';
+import { applyChanges } from '../version/folder';
+import InvalidHeadError from '../version/InvalidHeadError';
+import type { CurrentVersion, Folder, Head } from '../version/Types';
+import type { Beat, DeltaMessage, HeadTracker, Knowledge } from './Types';
+
+/** Joins what readers of the log and peers say of the head into one never-receding knowledge. */
+export default class PeerHeadTracker implements HeadTracker, Disposable {
+  private through = 0 as Offset;
+
+  private confirmedAt: number | undefined;
+
+  private refused: InvalidHeadError | undefined;
+
+  private readonly advance = new Emitter<Knowledge>();
+
+  public readonly onAdvance = this.advance.event;
+
+  /**
+   * @param versions - Puts new versions in force.
+   * @param clock - Source of time.
+   */
+  public constructor(
+    private readonly versions: CurrentVersion,
+    private readonly clock: Clock,
+  ) {}
+
+  public get knowledge(): Knowledge {
+    return { version: this.version, through: this.through, confirmedAt: this.confirmedAt };
+  }
+
+  /** The newest version that a peer offered and that can't be put in force here. */
+  public get refusedHead(): InvalidHeadError | undefined {
+    return this.refused;
+  }
+
+  public get head(): Head | undefined {
+    return this.versions.snapshot?.head;
+  }
+
+  public isBehind(beat: Beat): boolean {
+    const known = Math.max(this.version ?? -1, this.refused?.version ?? -1);
+    return beat.version !== null && beat.version > known;
+  }
+
+  public observe(beat: Beat): void {
+    if (beat.version !== this.version) return;
+    if (beat.through > this.through) this.through = beat.through;
+    if (beat.ageMs === null) return;
+    this.confirm(this.clock.now() - beat.ageMs);
+  }
+
+  public fromLog(head: Head | undefined, through: Offset, confirmed: boolean): void {
+    const advanced = head !== undefined && this.versions.advance(head);
+    if (through > this.through) this.through = through;
+    if (confirmed) this.confirm(this.clock.now());
+    if (advanced) this.advance.fire(this.knowledge);
+  }
+
+  public fromPeer({ delta, through }: DeltaMessage): boolean {
+    const base = this.baseFolder(delta.base);
+    if (!base) return false;
+    const { schema, version, publicationId, digest } = delta;
+    const folder = applyChanges(base, delta.changes);
+    try {
+      const advanced = this.versions.advance({ schema, version, publicationId, digest, folder });
+      if (!advanced) return this.version === version;
+    } catch (error) {
+      if (!(error instanceof InvalidHeadError)) throw error;
+      this.refused = error;
+      return false;
+    }
+    if (through > this.through) this.through = through;
+    this.advance.fire(this.knowledge);
+    return true;
+  }
+
+  public changesSince(base: VersionNumber | null): DeltaMessage | undefined {
+    const delta = this.versions.changesSince(base);
+    return delta && { delta, through: this.through };
+  }
+
+  public dispose(): void {
+    this.advance.dispose();
+  }
+
+  private get version(): VersionNumber | null {
+    return this.head?.version ?? null;
+  }
+
+  private baseFolder(base: VersionNumber | null): Folder | undefined {
+    if (base === null) return [];
+    return this.head?.version === base ? this.head.folder : undefined;
+  }
+
+  private confirm(at: number): void {
+    if (this.confirmedAt === undefined || at > this.confirmedAt) this.confirmedAt = at;
+  }
+}
--- /dev/null
+++ b/src/connection/PeerLink.ts
@@ -0,0 +1,167 @@
+import type { Disposable, Logger } from '../common/Types';
+import type FetchSlot from './FetchSlot';
+import type Gossip from './Gossip';
+import type Outbox from './Outbox';
+import PeerConnection from './PeerConnection';
+import PeerError from './PeerError';
+import type SocketMeter from './SocketMeter';
+import type { Beat, HeadTracker, MemberRecord, Membership, Update } from './Types';
+
+const ANSWER_TIMEOUT_MS = 2_000;
+const BEATS_BEFORE_SYNC = 2;
+
+/** What a link uses of its daemon. */
+export interface LinkServices {
+  readonly members: Membership;
+  readonly heads: HeadTracker;
+  readonly gossip: Gossip;
+  readonly fetchSlot: FetchSlot;
+  readonly meter: SocketMeter;
+  readonly logger: Logger;
+  /** Longest time between two heartbeats, in milliseconds. */
+  readonly beatMs: number;
+}
+
+function sameRecord(a: MemberRecord, b: MemberRecord | undefined): boolean {
+  return a.incarnation === b?.incarnation && a.sequence === b.sequence && a.health === b.health;
+}
+
+/** The connection that this daemon opened to one peer, and the task that keeps it in use. */
+export default class PeerLink {
+  private up = false;
+
+  private mismatches = 0;
+
+  private readonly outbox: Outbox;
+
+  /**
+   * @param peer - Whom to reach.
+   * @param services - What the link uses.
+   */
+  public constructor(
+    public readonly peer: MemberRecord,
+    private readonly services: LinkServices,
+  ) {
+    this.outbox = services.gossip.open();
+  }
+
+  /** Whether the peer answered on this connection. */
+  public get isUp(): boolean {
+    return this.up;
+  }
+
+  /** Sends a heartbeat at once. */
+  public wake(): void {
+    this.outbox.wake();
+  }
+
+  /**
+   * Connects and exchanges heartbeats until the connection fails or the signal ends it.
+   *
+   * @param signal - Ends the task.
+   * @throws PeerError - The peer stopped answering, or never did.
+   */
+  public async run(signal: AbortSignal): Promise<void> {
+    const connection = new PeerConnection(this.peer.address, this.services.meter);
+    let subscription: Disposable | undefined;
+    try {
+      await this.verify(connection);
+      this.up = true;
+      await this.sync(connection);
+      subscription = this.subscribe(connection);
+      this.outbox.put([this.services.members.self]);
+      const ended = AbortSignal.any([signal, connection.ended]);
+      while (!ended.aborted) {
+        await this.outbox.wait(this.services.beatMs, ended);
+        if (!ended.aborted) await this.beat(connection);
+      }
+      if (!signal.aborted) throw new PeerError(this.peer.id, 'the connection was closed');
+    } catch (error) {
+      if (error instanceof PeerError) throw error;
+      throw new PeerError(this.peer.id, (error as Error).message);
+    } finally {
+      this.up = false;
+      subscription?.dispose();
+      connection.dispose();
+      this.services.gossip.close(this.outbox);
+    }
+  }
+
+  private async verify({ client, ended }: PeerConnection): Promise<void> {
+    const id = await client.identity.query(undefined, PeerLink.answerOptions(ended));
+    if (id !== this.peer.id) throw new PeerError(this.peer.id, `${id} answers at its address`);
+  }
+
+  private async beat(connection: PeerConnection): Promise<void> {
+    const { gossip, members } = this.services;
+    const update: Update = { records: this.outbox.drain(), beat: gossip.beat() };
+    const reply = await connection.client.beat.mutate(
+      update,
+      PeerLink.answerOptions(connection.ended),
+    );
+    await this.follow(connection, reply.beat);
+    if (reply.wanted) await this.deliver(connection, reply.wanted.base);
+    this.mismatches = reply.beat.members === members.digest() ? 0 : this.mismatches + 1;
+    if (this.mismatches >= BEATS_BEFORE_SYNC) await this.sync(connection);
+  }
+
+  /** Fetches what the peer has and this daemon lacks. */
+  private async follow({ client, ended }: PeerConnection, beat: Beat): Promise<void> {
+    const { heads, fetchSlot } = this.services;
+    if (heads.isBehind(beat) && fetchSlot.take()) {
+      const { version } = heads.knowledge;
+      const message = await client.changes.query({ base: version }, PeerLink.answerOptions(ended));
+      if (message && !heads.fromPeer(message)) {
+        const whole = await client.changes.query({ base: null }, PeerLink.answerOptions(ended));
+        if (whole) heads.fromPeer(whole);
+      }
+      fetchSlot.free();
+    }
+    heads.observe(beat);
+  }
+
+  private async deliver({ client, ended }: PeerConnection, base: Beat['version']): Promise<void> {
+    const message = this.services.heads.changesSince(base);
+    if (message) await client.deliver.mutate(message, PeerLink.answerOptions(ended));
+  }
+
+  /** Exchanges the member records in which both sides differ. */
+  private async sync({ client, ended }: PeerConnection): Promise<void> {
+    const { members, gossip } = this.services;
+    const request = { buckets: members.buckets() };
+    const { differing, records } = await client.sync.mutate(request, PeerLink.answerOptions(ended));
+    gossip.receive(records, this.outbox);
+    const theirs = new Map(records.map((record) => [record.id, record]));
+    const news = members
+      .bucketRecords(differing)
+      .filter((own) => !sameRecord(own, theirs.get(own.id)));
+    this.outbox.put(news);
+    this.mismatches = 0;
+  }
+
+  private subscribe(connection: PeerConnection): Disposable {
+    const subscription = connection.client.updates.subscribe(undefined, {
+      onData: (update) => void this.receive(connection, update),
+      onError: () => connection.dispose(),
+    });
+    return { dispose: () => subscription.unsubscribe() };
+  }
+
+  private async receive(connection: PeerConnection, { records, beat }: Update): Promise<void> {
+    this.services.gossip.receive(records, this.outbox);
+    if (!beat) return;
+    try {
+      await this.follow(connection, beat);
+    } catch (error) {
+      this.services.logger.log('Fetch from a peer failed.', {
+        peer: this.peer.id,
+        reason: (error as Error).message,
+      });
+      connection.dispose();
+    }
+  }
+
+  private static answerOptions(ended: AbortSignal): { signal: AbortSignal } {
+    return { signal: AbortSignal.any([ended, AbortSignal.timeout(ANSWER_TIMEOUT_MS)]) };
+  }
+}
--- /dev/null
+++ b/src/connection/SocketMeter.ts
@@ -0,0 +1,37 @@
+import type { Socket } from 'node:net';
+
+/** Bytes that crossed the sockets of one purpose. */
+export interface SocketBytes {
+  readonly received: number;
+  readonly sent: number;
+}
+
+/** Counts the bytes of sockets, open ones included. */
+export default class SocketMeter {
+  private readonly open = new Set<Socket>();
+
+  private received = 0;
+
+  private sent = 0;
+
+  /** @param socket - Counted from now until it closes. */
+  public track(socket: Socket): void {
+    if (this.open.has(socket)) return;
+    this.open.add(socket);
+    socket.once('close', () => {
+      this.open.delete(socket);
+      this.received += socket.bytesRead;
+      this.sent += socket.bytesWritten;
+    });
+  }
+
+  /** Bytes so far. */
+  public get bytes(): SocketBytes {
+    let { received, sent } = this;
+    for (const socket of this.open) {
+      received += socket.bytesRead;
+      sent += socket.bytesWritten;
+    }
+    return { received, sent };
+  }
+}
--- /dev/null
+++ b/src/process/DaemonMetrics.ts
@@ -0,0 +1,106 @@
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { CallReport } from '../request/CallHandler';
+
+const CALL_BUCKETS_SECONDS = [
+  0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10,
+];
+const MS_PER_SECOND = 1_000;
+
+/** Values that are read when the metrics are scraped. */
+export interface Readings {
+  readonly version: () => number;
+  readonly knowledgeAgeSeconds: () => number;
+  readonly members: () => number;
+  readonly suspects: () => number;
+  readonly links: () => number;
+  readonly openCalls: () => number;
+  readonly upstreamLoad: () => number;
+  readonly controlBytesReceived: () => number;
+  readonly controlBytesSent: () => number;
+  readonly logReads: () => number;
+  readonly logFailures: () => number;
+  readonly unknownSchema: () => number;
+}
+
+const HELP: Readonly<Record<keyof Readings, readonly [name: string, help: string]>> = {
+  version: ['version', 'Version of the configuration in force; -1 where none is.'],
+  knowledgeAgeSeconds: [
+    'knowledge_age_seconds',
+    'Time since the head was last confirmed; -1 where never.',
+  ],
+  members: ['members', 'Live daemons known.'],
+  suspects: ['members_suspect', 'Live daemons that were lost from sight.'],
+  links: ['links_up', 'Links to peers that answer.'],
+  openCalls: ['calls_open', 'Calls that have not ended.'],
+  upstreamLoad: ['upstream_load', 'Calls at the upstream here, in parts of its slots.'],
+  controlBytesReceived: ['control_received_bytes', 'Bytes received from peers and the log.'],
+  controlBytesSent: ['control_sent_bytes', 'Bytes sent to peers and the log.'],
+  logReads: ['log_reads', 'Reads of the configuration stream.'],
+  logFailures: ['log_failures', 'Reads of the configuration stream that failed.'],
+  unknownSchema: [
+    'schema_unknown',
+    '1 while a record of an unknown schema holds this daemon back.',
+  ],
+};
+
+/** Metrics of a daemon, in the format of Prometheus. */
+export default class DaemonMetrics {
+  private readonly registry = new Registry();
+
+  private readonly calls: Counter<'outcome'>;
+
+  private readonly attempts: Counter<'kind'>;
+
+  private readonly durations: Histogram;
+
+  /** @param readings - Values read at each scrape. */
+  public constructor(readings: Readings) {
+    const { registry } = this;
+    collectDefaultMetrics({ register: registry, prefix: 'azurestream_' });
+    this.calls = new Counter({
+      name: 'azurestream_calls_total',
+      help: 'Calls by outcome.',
+      labelNames: ['outcome'],
+      registers: [registry],
+    });
+    this.attempts = new Counter({
+      name: 'azurestream_attempts_total',
+      help: 'Attempts by kind: first, retry or hedge.',
+      labelNames: ['kind'],
+      registers: [registry],
+    });
+    this.durations = new Histogram({
+      name: 'azurestream_call_duration_seconds',
+      help: 'Time from the head of a request to the end of its answer.',
+      buckets: CALL_BUCKETS_SECONDS,
+      registers: [registry],
+    });
+    for (const key of Object.keys(HELP) as (keyof Readings)[]) this.gauge(key, readings[key]);
+  }
+
+  /** @param report - What ended a call. */
+  public readonly onCall = (report: CallReport): void => {
+    this.calls.inc({ outcome: report.outcome });
+    this.durations.observe(report.durationMs / MS_PER_SECOND);
+  };
+
+  /** @param kind - Kind of an attempt. */
+  public readonly onAttempt = (kind: 'first' | 'retry' | 'hedge'): void => {
+    this.attempts.inc({ kind });
+  };
+
+  /** @returns The text of a scrape. */
+  public scrape(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  private gauge(key: keyof Readings, read: () => number): void {
+    const [name, help] = HELP[key];
+    const gauge: Gauge = new Gauge({
+      name: `azurestream_${name}`,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(read()),
+    });
+  }
+}
--- /dev/null
+++ b/src/process/Inspection.ts
@@ -0,0 +1,164 @@
+import type { Clock, Offset } from '../common/Types';
+import type CheckpointWriter from '../connection/CheckpointWriter';
+import type LogTail from '../connection/LogTail';
+import type MemberTable from '../connection/MemberTable';
+import type Overlay from '../connection/Overlay';
+import type PeerHeadTracker from '../connection/PeerHeadTracker';
+import type SocketMeter from '../connection/SocketMeter';
+import type { MemberRecord } from '../connection/Types';
+import type AttemptRegistry from '../request/AttemptRegistry';
+import type CallHandler from '../request/CallHandler';
+import isIdempotent from '../request/isIdempotent';
+import type { Configuration, Head } from '../version/Types';
+import type { Settings } from './settings';
+import type { DaemonStatus, Dump, Explanation, RouteState } from './Types';
+import type UpstreamRegistration from './UpstreamRegistration';
+
+/** The parts whose state is shown. */
+export interface InspectedParts {
+  readonly settings: Settings;
+  readonly members: MemberTable;
+  readonly heads: PeerHeadTracker;
+  readonly tail: LogTail;
+  readonly checkpoints: CheckpointWriter;
+  readonly overlay: Overlay;
+  readonly calls: CallHandler;
+  readonly attempts: AttemptRegistry;
+  readonly registration: UpstreamRegistration;
+  readonly meter: SocketMeter;
+  readonly configuration: () => Configuration | undefined;
+  readonly clock: Clock;
+}
+
+/** The head in force, for `pull` and `diff`. */
+export interface HeadReport {
+  readonly head: Head | null;
+  readonly through: Offset;
+}
+
+/** Shows the state of this daemon on request; changes nothing. */
+export default class Inspection {
+  private readonly startedAt: number;
+
+  /** @param parts - What is shown. */
+  public constructor(private readonly parts: InspectedParts) {
+    this.startedAt = parts.clock.now();
+  }
+
+  /** @returns What is in force here, and how sure that is. */
+  public status(): DaemonStatus {
+    const { members, heads } = this.parts;
+    const { id, incarnation, zone } = members.self;
+    return {
+      id,
+      incarnation,
+      zone,
+      version: heads.head?.version ?? null,
+      digest: heads.head?.digest ?? null,
+      knowledgeAgeMs: this.knowledgeAgeMs(),
+      problems: this.problems(),
+    };
+  }
+
+  /** @returns Every live daemon known here, this one included. */
+  public members(): readonly MemberRecord[] {
+    return this.parts.members.live();
+  }
+
+  /** @returns The folder in force here. */
+  public head(): HeadReport {
+    const { heads } = this.parts;
+    return { head: heads.head ?? null, through: heads.knowledge.through };
+  }
+
+  /** @returns The whole state. */
+  public dump(): Dump {
+    const { parts } = this;
+    const { heapUsed, rss } = process.memoryUsage();
+    return {
+      status: this.status(),
+      uptimeMs: Math.round(parts.clock.now() - this.startedAt),
+      settings: parts.settings,
+      configuration: this.configuration(),
+      log: { ...parts.tail.state, checkpointsWritten: parts.checkpoints.count },
+      members: parts.members.all(),
+      links: parts.overlay.state,
+      calls: { open: parts.calls.openCalls, rememberedAttempts: parts.attempts.size },
+      upstream: parts.registration.status,
+      controlBytes: parts.meter.bytes,
+      memory: { residentBytes: rss, heapBytes: heapUsed },
+    };
+  }
+
+  /**
+   * @param method - HTTP method.
+   * @param path - Path, with or without the query.
+   * @returns Which route matches, where it comes from and where calls would go.
+   */
+  public explain(method: string, path: string): Explanation {
+    const { heads, calls, members } = this.parts;
+    const configuration = this.parts.configuration();
+    const resolution = calls.resolve(method, path);
+    const route = calls.match(method, path) ?? null;
+    const service = (route && configuration?.services.get(route.service)) ?? null;
+    const keys = [`route.${route?.name}`, `service.${service?.name}`];
+    return {
+      method,
+      path,
+      version: heads.head?.version ?? null,
+      route,
+      files: configuration?.provenance.filter(({ key }) => keys.includes(key)) ?? [],
+      service,
+      idempotent: route && isIdempotent(route, method),
+      upstreams: service ? members.upstreams(service.name) : [],
+      refusal: resolution.kind === 'refused' ? resolution.refusal.reason : null,
+    };
+  }
+
+  private configuration(): Dump['configuration'] {
+    const configuration = this.parts.configuration();
+    const { head } = this.parts.heads;
+    if (!configuration || !head) return null;
+    const { members } = this.parts;
+    const routes = [...configuration.routes.values()].map((route): RouteState => {
+      const inForce = members.upstreams(route.service).length > 0;
+      const reason = inForce ? null : `service ${route.service} has no upstream that serves`;
+      return { ...route, inForce, reason };
+    });
+    return {
+      files: head.folder.map(({ name }) => name),
+      services: [...configuration.services.values()],
+      routes,
+      provenance: configuration.provenance,
+    };
+  }
+
+  private knowledgeAgeMs(): number | null {
+    const { confirmedAt } = this.parts.heads.knowledge;
+    return confirmedAt === undefined ? null : Math.round(this.parts.clock.now() - confirmedAt);
+  }
+
+  private problems(): string[] {
+    const { heads, tail, settings, members, overlay } = this.parts;
+    const { unknownSchema, failures, reading } = tail.state;
+    const age = this.knowledgeAgeMs();
+    const problems: string[] = [];
+    if (!heads.head) problems.push('no configuration is in force');
+    if (age === null || age > settings.log.stale) {
+      problems.push(
+        `can't confirm that this is current: knowledge is ${age ?? 'infinitely many'} ms old`,
+      );
+    }
+    if (unknownSchema !== undefined) {
+      problems.push(`a record of schema ${unknownSchema} can't be read`);
+    }
+    if (heads.refusedHead) problems.push(heads.refusedHead.message);
+    if (reading && failures > 0 && age !== null && age > settings.log.stale) {
+      problems.push('reads of the log fail');
+    }
+    if (members.live().length > 1 && !overlay.state.some(({ up }) => up)) {
+      problems.push('no peer answers');
+    }
+    return problems;
+  }
+}
--- /dev/null
+++ b/src/process/Listener.ts
@@ -0,0 +1,82 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { Address, Disposable } from '../common/Types';
+import { OUTCOME_HEADER } from '../request/callHeaders';
+
+const MALFORMED_STATUS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const status = MALFORMED_STATUS[error.code ?? ''] ?? '400 Bad Request';
+  socket.end(
+    `HTTP/1.1 ${status}\r\n${OUTCOME_HEADER}: not-run\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
+  );
+}
+
+/** A listening HTTP server whose handler can be set after its port is known. */
+export default class Listener implements Disposable {
+  public readonly server: Server;
+
+  private handler: RequestListener | undefined;
+
+  /** @param options - Limits of the HTTP server. */
+  public constructor(options: ServerOptions = {}) {
+    this.server = createServer({ noDelay: true, ...options }, (message, response) =>
+      this.dispatch(message, response),
+    );
+    this.server.on('clientError', refuseMalformed);
+  }
+
+  /** @param handler - Answers every request from now on. */
+  public handle(handler: RequestListener): void {
+    this.handler = handler;
+  }
+
+  /**
+   * @param address - Where to listen; port 0 picks a free one.
+   * @returns The address with its real port.
+   */
+  public async listen(address: Address): Promise<Address> {
+    const separator = address.lastIndexOf(':');
+    const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host, port: Number(address.slice(separator + 1)) }, resolve);
+    });
+    const { port } = this.server.address() as AddressInfo;
+    return `${address.slice(0, separator)}:${port}` as Address;
+  }
+
+  /** Takes no new connection, and closes those on which nothing is under way. */
+  public stopAccepting(): void {
+    if (this.server.listening) this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  public dispose(): void {
+    this.stopAccepting();
+    this.server.closeAllConnections();
+  }
+
+  private dispatch(message: IncomingMessage, response: ServerResponse): void {
+    if (this.handler) {
+      this.handler(message, response);
+      return;
+    }
+    response.writeHead(503, { [OUTCOME_HEADER]: 'not-run' });
+    response.end();
+  }
+}
--- /dev/null
+++ b/src/process/serveOperators.ts
@@ -0,0 +1,62 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { json } from 'node:stream/consumers';
+import polka from 'polka';
+import type Inspection from './Inspection';
+import type DaemonMetrics from './DaemonMetrics';
+import type Listener from './Listener';
+import { announcementSchema } from './UpstreamRegistration';
+import type UpstreamRegistration from './UpstreamRegistration';
+
+/** What the control address shows and takes. */
+export interface OperatorServices {
+  readonly inspection: Inspection;
+  readonly metrics: DaemonMetrics;
+  readonly registration: UpstreamRegistration;
+}
+
+function reply(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(`${JSON.stringify(body)}\n`);
+}
+
+async function announce(
+  registration: UpstreamRegistration,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const result = announcementSchema.safeParse(await json(request).catch(() => undefined));
+  if (!result.success) {
+    const [issue] = result.error.issues;
+    reply(response, 400, { error: `${issue!.path.join('.')}: ${issue!.message}` });
+    return;
+  }
+  registration.announce(result.data);
+  reply(response, 200, { renewed: true });
+}
+
+/**
+ * Serves operators, their programs and the upstream beside this daemon.
+ *
+ * @param listener - The listening server.
+ * @param services - What is shown and taken.
+ */
+export default function serveOperators(listener: Listener, services: OperatorServices): void {
+  const { inspection, metrics, registration } = services;
+  const app = polka({
+    onNoMatch: (_request, response) => reply(response, 404, { error: 'no such path' }),
+  });
+  app.get('/status', (_request, response) => reply(response, 200, inspection.status()));
+  app.get('/members', (_request, response) => reply(response, 200, inspection.members()));
+  app.get('/folder', (_request, response) => reply(response, 200, inspection.head()));
+  app.get('/dump', (_request, response) => reply(response, 200, inspection.dump()));
+  app.get('/explain', (request, response) => {
+    const { method = 'GET', path = '/' } = request.query as Record<string, string>;
+    reply(response, 200, inspection.explain(method, path));
+  });
+  app.get('/metrics', async (_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+    response.end(await metrics.scrape());
+  });
+  app.put('/upstream', (request, response) => void announce(registration, request, response));
+  listener.handle(app.handler as never);
+}
--- /dev/null
+++ b/src/process/settings.ts
@@ -0,0 +1,119 @@
+/**
+ * Settings of a daemon; docs/CONFIGURATION.md lists the keys.
+ *
+ * @packageDocumentation
+ */
+import { readFileSync } from 'node:fs';
+import { parse, TomlError } from 'smol-toml';
+import { z } from 'zod';
+import { DURATION_EXPECTED, parseDuration } from '../common/parseDuration';
+import type { Address, DaemonId, FileName, ZoneName } from '../common/Types';
+import { formatFault, schemaFaults } from '../version/faults';
+import SettingsError from './SettingsError';
+
+const ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/;
+const ADDRESS_EXPECTED = 'an IP number and a port, such as "10.0.0.7:7000"';
+const MEBIBYTE = 1024 * 1024;
+
+const address = z
+  .string({ error: ADDRESS_EXPECTED })
+  .regex(ADDRESS, { error: ADDRESS_EXPECTED })
+  .transform((value) => value as Address);
+const duration = (fallback: string) =>
+  z
+    .string({ error: DURATION_EXPECTED })
+    .default(fallback)
+    .transform((text) => parseDuration(text) ?? Number.NaN)
+    .refine((value) => value > 0, { error: DURATION_EXPECTED });
+const count = (min: number, max: number, fallback: number) => {
+  const error = `a whole number from ${min} to ${max}`;
+  return z.int({ error }).min(min, { error }).max(max, { error }).default(fallback);
+};
+const name = z
+  .string({ error: 'a name' })
+  .regex(/^[\w.:-]{1,128}$/, { error: 'a name of letters, digits, dots, colons and hyphens' });
+
+const settingsSchema = z.strictObject({
+  daemon: z.strictObject({
+    name: name.transform((value) => value as DaemonId),
+    zone: name.transform((value) => value as ZoneName),
+    calls: address,
+    peers: address,
+    control: address,
+    drain: duration('30s'),
+    leave: duration('500ms'),
+  }),
+  log: z.strictObject({
+    address,
+    stream_prefix: z.string().default(''),
+    retention: duration('24h'),
+    readers_per_zone: count(1, 100, 2),
+    stale: duration('10s'),
+  }),
+  peers: z
+    .strictObject({
+      seeds: z.array(address, { error: 'a list of addresses' }).default([]),
+      heartbeat: duration('2s'),
+      suspicion: duration('5s'),
+      tombstone: duration('10m'),
+      cut: duration('2h'),
+    })
+    .prefault({}),
+  upstream: z.strictObject({ lease: duration('10s') }).prefault({}),
+  calls: z
+    .strictObject({
+      max_body_bytes: count(1, 256 * MEBIBYTE, MEBIBYTE),
+      max_header_bytes: count(1024, MEBIBYTE, 16 * 1024),
+      max_open: count(1, 1_000_000, 2_000),
+      peer_connections: count(1, 1_000, 16),
+      silence: duration('1s'),
+      receive: duration('30s'),
+    })
+    .prefault({}),
+  logging: z
+    .strictObject({
+      format: z.enum(['text', 'json'], { error: '"text" or "json"' }).default('text'),
+    })
+    .prefault({}),
+});
+
+/** Validated settings; durations are in milliseconds. */
+export type Settings = z.output<typeof settingsSchema>;
+
+/**
+ * @param content - TOML text.
+ * @param file - Name for error messages.
+ * @returns The settings with their defaults.
+ * @throws SettingsError - Names the file, the key, what was found and what was expected.
+ */
+export function parseSettings(content: string, file: string): Settings {
+  let document: unknown;
+  try {
+    document = parse(content);
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error;
+    throw new SettingsError(
+      `${file}:${error.line}: found no TOML: ${error.message.split('\n')[0]}`,
+    );
+  }
+  const result = settingsSchema.safeParse(document);
+  if (result.success) return result.data;
+  const place = { file: file as FileName, content: '', table: '' };
+  const faults = schemaFaults(result.error, document, place);
+  throw new SettingsError(faults.map(formatFault).join('\n'));
+}
+
+/**
+ * @param file - Path of the settings file.
+ * @returns The settings with their defaults.
+ * @throws SettingsError - The file can't be read or isn't valid.
+ */
+export function readSettings(file: string): Settings {
+  let content: string;
+  try {
+    content = readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new SettingsError(`${file}: can't be read: ${(error as NodeJS.ErrnoException).code}`);
+  }
+  return parseSettings(content, file);
+}
--- /dev/null
+++ b/src/request/PeerTransport.ts
@@ -0,0 +1,153 @@
+import type { Dispatcher } from 'undici';
+import type { Clock } from '../common/Types';
+import {
+  LOAD_HEADER,
+  OUTCOME_HEADER,
+  peerCallHeaders,
+  positiveHeader,
+  REASON_HEADER,
+} from './callHeaders';
+import CALLER_LEFT from './callerLeft';
+import exchange from './exchange';
+import ExchangeError from './ExchangeError';
+import NotRunError from './NotRunError';
+import type StreamedAnswer from './StreamedAnswer';
+import type {
+  Answer,
+  AttemptContext,
+  AttemptState,
+  AttemptTransport,
+  CallRequest,
+  Upstream,
+} from './Types';
+import UnknownOutcomeError from './UnknownOutcomeError';
+
+const BODY_TIMEOUT_MS = 30_000;
+
+/**
+ * Asks an upstream's daemon, on a new connection, what became of an attempt, and forbids it if it
+ * never came.
+ *
+ * @param upstream - Where the attempt was sent.
+ * @param context - The attempt.
+ * @param giveUp - Forbids it also where it waits for a slot.
+ * @returns The attempt's state; `undefined` where the daemon can't be asked or is a newer
+ * incarnation, which proves nothing.
+ */
+export type Fence = (
+  upstream: Upstream,
+  context: AttemptContext,
+  giveUp: boolean,
+) => Promise<AttemptState | undefined>;
+
+/** Sends attempts to the daemon beside the upstream. */
+export default class PeerTransport implements AttemptTransport {
+  /**
+   * @param dispatcher - Connections to other daemons.
+   * @param fence - Resolves attempts on connections that failed or fell silent.
+   * @param silenceMs - How long to wait for an answer's head before asking, in milliseconds.
+   * @param clock - Source of time.
+   */
+  public constructor(
+    private readonly dispatcher: Dispatcher,
+    private readonly fence: Fence,
+    private readonly silenceMs: number,
+    private readonly clock: Clock,
+  ) {}
+
+  public async send(
+    upstream: Upstream,
+    request: CallRequest,
+    context: AttemptContext,
+    signal: AbortSignal,
+  ): Promise<Answer> {
+    const fenced = new AbortController();
+    let verdict: Error | undefined;
+    const watch = this.watch(upstream, context, (error) => {
+      verdict = error;
+      fenced.abort();
+    });
+    const leave = () => fenced.abort();
+    signal.addEventListener('abort', leave, { once: true });
+    try {
+      const answer = await this.exchange(upstream, request, context, fenced.signal);
+      answer.onceClosed(() => signal.removeEventListener('abort', leave));
+      return await PeerTransport.judge(answer);
+    } catch (error) {
+      signal.removeEventListener('abort', leave);
+      if (verdict) throw verdict;
+      if (!(error instanceof ExchangeError)) throw error;
+      if (signal.reason === CALLER_LEFT) throw new UnknownOutcomeError('the caller left');
+      throw await this.resolve(upstream, context, error);
+    } finally {
+      clearTimeout(watch.timer);
+      watch.stopped = true;
+    }
+  }
+
+  private exchange(
+    upstream: Upstream,
+    request: CallRequest,
+    context: AttemptContext,
+    signal: AbortSignal,
+  ): Promise<StreamedAnswer> {
+    return exchange({
+      dispatcher: this.dispatcher,
+      origin: `http://${upstream.address}`,
+      request,
+      headers: peerCallHeaders(request, context, upstream.incarnation, this.clock.now()),
+      headTimeoutMs: 0,
+      bodyTimeoutMs: BODY_TIMEOUT_MS,
+      signal,
+    });
+  }
+
+  /** Asks after a silent attempt again and again, on new connections, until it is resolved. */
+  private watch(
+    upstream: Upstream,
+    context: AttemptContext,
+    giveUp: (error: Error) => void,
+  ): { timer: NodeJS.Timeout; stopped: boolean } {
+    const watch = { timer: undefined as unknown as NodeJS.Timeout, stopped: false };
+    let before: AttemptState | undefined;
+    const ask = async () => {
+      const state = await this.fence(upstream, context, false);
+      if (watch.stopped) return;
+      // The answer of an attempt that has just ended may still be on its way.
+      const pending =
+        state === 'running' || state === 'queued' || (state === 'done' && before !== 'done');
+      before = state;
+      if (pending) watch.timer = setTimeout(() => void ask(), this.silenceMs);
+      else giveUp(PeerTransport.verdict(state, 'the connection fell silent'));
+    };
+    watch.timer = setTimeout(() => void ask(), this.silenceMs);
+    return watch;
+  }
+
+  private async resolve(
+    upstream: Upstream,
+    context: AttemptContext,
+    error: ExchangeError,
+  ): Promise<Error> {
+    if (!error.sent) return new NotRunError(`never sent: ${error.message}`);
+    return PeerTransport.verdict(await this.fence(upstream, context, true), error.message);
+  }
+
+  private static verdict(state: AttemptState | undefined, reason: string): Error {
+    return state === 'forbidden'
+      ? new NotRunError(`${reason}; the attempt was fenced off`)
+      : new UnknownOutcomeError(`${reason}; the attempt is ${state ?? 'unresolved'}`);
+  }
+
+  /** Tells an answer of the upstream from a refusal of its daemon. */
+  private static async judge(answer: StreamedAnswer): Promise<Answer> {
+    const outcome = answer.headers[OUTCOME_HEADER];
+    if (outcome === 'answered') return answer;
+    const load = positiveHeader(answer.headers, LOAD_HEADER, 0);
+    const reason = String(answer.headers[REASON_HEADER] ?? 'no reason given');
+    // The rest of a refusal is read, so that its connection can be used again.
+    void answer.pipe({ write: () => true, onDrain: () => undefined }).catch(() => undefined);
+    if (outcome === 'not-run') throw new NotRunError(reason, load);
+    throw new UnknownOutcomeError(reason);
+  }
+}
--- /dev/null
+++ b/src/request/RoutingTransport.ts
@@ -0,0 +1,30 @@
+import type { DaemonId } from '../common/Types';
+import type LocalUpstream from './LocalUpstream';
+import NotRunError from './NotRunError';
+import type { Answer, AttemptContext, AttemptTransport, CallRequest, Upstream } from './Types';
+
+/** Saves the hop between daemons where the chosen upstream is the one beside this daemon. */
+export default class RoutingTransport implements AttemptTransport {
+  /**
+   * @param own - This daemon.
+   * @param local - The upstream beside it, while it takes new work.
+   * @param remote - Sends to other daemons.
+   */
+  public constructor(
+    private readonly own: DaemonId,
+    private readonly local: () => LocalUpstream | undefined,
+    private readonly remote: AttemptTransport,
+  ) {}
+
+  public send(
+    upstream: Upstream,
+    request: CallRequest,
+    context: AttemptContext,
+    signal: AbortSignal,
+  ): Promise<Answer> {
+    if (upstream.daemon !== this.own) return this.remote.send(upstream, request, context, signal);
+    const local = this.local();
+    if (!local) return Promise.reject(new NotRunError('the upstream here takes no new work'));
+    return local.run(request, context, signal);
+  }
+}
--- /dev/null
+++ b/src/request/TwoChoiceBalancer.ts
@@ -0,0 +1,140 @@
+import type { Clock, DaemonId, Random, ServiceName, ZoneName } from '../common/Types';
+import type { Service } from '../version/Types';
+import Standing, { FIRST_LATENCY_MS } from './Standing';
+import type { AttemptResult, Balancer, Upstream, UpstreamDirectory } from './Types';
+
+const SERVICE_LATENCY_WEIGHT = 0.05;
+const ZONE_SPILL_LOAD = 0.8;
+const LOAD_FRESH_MS = 1_000;
+const BAD_HINT_FACTOR = 4;
+const COLD_SHARE = 0.25;
+const HEDGE_LATENCIES = 3;
+const MIN_HEDGE_MS = 5;
+const FORGET_AFTER_MS = 600_000;
+
+/** How much less a cold upstream is chosen. */
+function coldFactor({ servingSince }: Upstream, { warmUpMs }: Service, now: number): number {
+  const age = now - servingSince;
+  if (age >= warmUpMs) return 1;
+  return 1 / Math.max(COLD_SHARE, age / warmUpMs);
+}
+
+/**
+ * Takes the better of two random upstreams, by its own calls in flight, the latency they showed
+ * and the load that answers carry. Its own zone comes first until that is loaded.
+ *
+ * @see {@link https://www.eecs.harvard.edu/~michaelm/postscripts/tpds2001.pdf}
+ */
+export default class TwoChoiceBalancer implements Balancer {
+  private readonly standings = new Map<DaemonId, Standing>();
+
+  private readonly latencies = new Map<ServiceName, number>();
+
+  public constructor(
+    private readonly directory: UpstreamDirectory,
+    private readonly zone: ZoneName,
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
+
+  public choose(service: Service, exclude: ReadonlySet<DaemonId>): Upstream | undefined {
+    const now = this.clock.now();
+    const all = this.directory.upstreams(service.name);
+    const untried = exclude.size === 0 ? all : all.filter(({ daemon }) => !exclude.has(daemon));
+    const pool = this.nearest(this.fit(untried, now), service, now);
+    if (pool.length < 2) return pool[0];
+    const first = this.random.below(pool.length);
+    const second = (first + 1 + this.random.below(pool.length - 1)) % pool.length;
+    const a = pool[first]!;
+    const b = pool[second]!;
+    return this.cost(a, service, now) <= this.cost(b, service, now) ? a : b;
+  }
+
+  public begin({ daemon }: Upstream): void {
+    const standing = this.standing(daemon);
+    standing.inFlight += 1;
+    standing.lastUsed = this.clock.now();
+  }
+
+  public end({ daemon, service }: Upstream, result: AttemptResult): void {
+    const standing = this.standing(daemon);
+    const now = this.clock.now();
+    standing.inFlight -= 1;
+    if (result.kind === 'answered') {
+      standing.succeed(result.latencyMs, now);
+      this.noteLatency(service, result.latencyMs);
+    }
+    if (result.kind === 'failed') standing.fail(now);
+    if (result.kind === 'answered' || result.kind === 'refused') {
+      standing.load = result.load ?? (result.kind === 'refused' ? 1 : standing.load);
+      standing.loadAt = now;
+    }
+  }
+
+  public hedgeDelayMs(service: ServiceName): number {
+    return Math.max(MIN_HEDGE_MS, HEDGE_LATENCIES * (this.latencies.get(service) ?? MIN_HEDGE_MS));
+  }
+
+  /** Forgets upstreams that weren't used for long. */
+  public sweep(): void {
+    const oldest = this.clock.now() - FORGET_AFTER_MS;
+    for (const [daemon, { lastUsed, inFlight }] of this.standings) {
+      if (inFlight === 0 && lastUsed < oldest) this.standings.delete(daemon);
+    }
+  }
+
+  private noteLatency(service: ServiceName, latencyMs: number): void {
+    const known = this.latencies.get(service) ?? latencyMs;
+    this.latencies.set(service, known + SERVICE_LATENCY_WEIGHT * (latencyMs - known));
+  }
+
+  /** Leaves out those set aside and those lost from sight, but never all. */
+  private fit(upstreams: readonly Upstream[], now: number): readonly Upstream[] {
+    const usable = upstreams.filter(
+      ({ daemon, suspect }) => !suspect && now >= (this.standings.get(daemon)?.asideUntil ?? 0),
+    );
+    if (usable.length > 0) return usable;
+    const unproven = upstreams.filter(
+      ({ daemon }) => now >= (this.standings.get(daemon)?.asideUntil ?? 0),
+    );
+    return unproven.length > 0 ? unproven : upstreams;
+  }
+
+  private nearest(
+    upstreams: readonly Upstream[],
+    service: Service,
+    now: number,
+  ): readonly Upstream[] {
+    const near = upstreams.filter(({ zone }) => zone === this.zone);
+    const spared = near.some(({ daemon }) => this.loadOf(daemon, service, now) < ZONE_SPILL_LOAD);
+    return spared ? near : upstreams;
+  }
+
+  /** Own calls count at once; what the answers said of others' calls counts while it is fresh. */
+  private loadOf(daemon: DaemonId, service: Service, now: number): number {
+    const standing = this.standings.get(daemon);
+    if (!standing) return 0;
+    const reported = now - standing.loadAt < LOAD_FRESH_MS ? standing.load : 0;
+    return Math.max(reported, standing.inFlight / service.slots);
+  }
+
+  private cost(upstream: Upstream, service: Service, now: number): number {
+    const standing = this.standings.get(upstream.daemon);
+    const inFlight = standing?.inFlight ?? 0;
+    const latency = standing?.latencyMs ?? FIRST_LATENCY_MS;
+    const load = this.loadOf(upstream.daemon, service, now);
+    const cold = coldFactor(upstream, service, now);
+    // A bad hint counts only as long as no call of this daemon showed otherwise.
+    const hinted = upstream.healthHint || (standing?.lastSuccess ?? 0) > now - LOAD_FRESH_MS;
+    return (inFlight + 1) * latency * (1 + load) * cold * (hinted ? 1 : BAD_HINT_FACTOR);
+  }
+
+  private standing(daemon: DaemonId): Standing {
+    let standing = this.standings.get(daemon);
+    if (!standing) {
+      standing = new Standing();
+      this.standings.set(daemon, standing);
+    }
+    return standing;
+  }
+}
--- /dev/null
+++ b/src/request/exchange.ts
@@ -0,0 +1,100 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Dispatcher } from 'undici';
+import ExchangeError from './ExchangeError';
+import StreamedAnswer from './StreamedAnswer';
+import type { CallRequest } from './Types';
+
+/** One HTTP request to one place. */
+export interface Exchange {
+  readonly dispatcher: Dispatcher;
+  readonly origin: string;
+  readonly request: CallRequest;
+  /** All headers, in place of those of the request. */
+  readonly headers: string[];
+  /** Longest wait for the answer's head, in milliseconds. */
+  readonly headTimeoutMs: number;
+  /** Longest pause within the answer's body, in milliseconds. */
+  readonly bodyTimeoutMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Receives what the HTTP client reports of one request. */
+class ExchangeHandler implements Dispatcher.DispatchHandler {
+  private started = false;
+
+  private answer: StreamedAnswer | undefined;
+
+  private controller: Dispatcher.DispatchController | undefined;
+
+  public constructor(
+    private readonly signal: AbortSignal,
+    private readonly resolve: (answer: StreamedAnswer) => void,
+    private readonly reject: (error: ExchangeError) => void,
+  ) {
+    signal.addEventListener('abort', this.abort, { once: true });
+  }
+
+  public onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    // The client may put a request on a second connection; a sent one must not run twice.
+    if (this.started) controller.abort(new Error('the connection closed after sending'));
+    else if (this.signal.aborted) controller.abort(new Error('aborted'));
+    else this.started = true;
+  }
+
+  public onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (status < 200) return;
+    this.answer = new StreamedAnswer(status, headers, controller);
+    this.answer.onceClosed(() => this.signal.removeEventListener('abort', this.abort));
+    this.resolve(this.answer);
+  }
+
+  public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.answer?.push(chunk);
+  }
+
+  public onResponseEnd(): void {
+    this.answer?.complete();
+  }
+
+  public onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.signal.removeEventListener('abort', this.abort);
+    if (this.answer) this.answer.fail(error.message);
+    else this.reject(new ExchangeError(error.message, this.started));
+  }
+
+  private readonly abort = (): void => {
+    this.answer?.fail('aborted');
+    if (this.controller) this.controller.abort(new Error('aborted'));
+    else this.reject(new ExchangeError('aborted before it was sent', false));
+  };
+}
+
+/**
+ * Sends a request over one hop.
+ *
+ * @param options - What to send, and where.
+ * @returns The answer's head.
+ * @throws ExchangeError - There was no answer; says whether the request may have been received.
+ */
+export default function exchange(options: Exchange): Promise<StreamedAnswer> {
+  const { dispatcher, request, signal } = options;
+  return new Promise((resolve, reject) => {
+    dispatcher.dispatch(
+      {
+        origin: options.origin,
+        path: request.path,
+        method: request.method,
+        headers: options.headers,
+        body: request.body,
+        headersTimeout: options.headTimeoutMs,
+        bodyTimeout: options.bodyTimeoutMs,
+      },
+      new ExchangeHandler(signal, resolve, reject),
+    );
+  });
+}
--- /dev/null
+++ b/src/request/hedgedAttempt.ts
@@ -0,0 +1,52 @@
+import type { Answer } from './Types';
+
+/** Runs one attempt until it is answered, fails or is cancelled. */
+export type Attempt = (cancel: AbortSignal) => Promise<Answer>;
+
+/**
+ * Runs an attempt, and a second one beside it where the first takes long. The first answer wins and
+ * the other attempt is cancelled.
+ *
+ * @param first - The attempt.
+ * @param second - Gives the second attempt, or `undefined` where none may be made.
+ * @param delayMs - After how many milliseconds the second one starts.
+ * @param signal - Cancels both.
+ * @returns The first answer.
+ * @throws What the last attempt to fail threw.
+ */
+export default function hedgedAttempt(
+  first: Attempt,
+  second: () => Attempt | undefined,
+  delayMs: number,
+  signal: AbortSignal,
+): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const open = new Set<AbortController>();
+    const settled = new AbortController();
+    const start = async (attempt: Attempt): Promise<void> => {
+      const cancel = new AbortController();
+      const leave = () => cancel.abort(signal.reason);
+      signal.addEventListener('abort', leave, { once: true });
+      open.add(cancel);
+      try {
+        const answer = await attempt(cancel.signal);
+        open.delete(cancel);
+        settled.abort();
+        for (const other of open) other.abort();
+        resolve(answer);
+      } catch (error) {
+        open.delete(cancel);
+        signal.removeEventListener('abort', leave);
+        if (open.size > 0) return;
+        settled.abort();
+        reject(error);
+      }
+    };
+    const timer = setTimeout(() => {
+      const attempt = second();
+      if (attempt) void start(attempt);
+    }, delayMs);
+    settled.signal.addEventListener('abort', () => clearTimeout(timer), { once: true });
+    void start(first);
+  });
+}
--- /dev/null
+++ b/src/request/isIdempotent.ts
@@ -0,0 +1,13 @@
+import type { Route } from '../version/Types';
+
+/** @see {@link https://www.rfc-editor.org/rfc/rfc9110#section-9.2.2} */
+const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
+
+/**
+ * @param route - The route; its declaration goes before the method.
+ * @param method - HTTP method.
+ * @returns Whether a call may run more than once.
+ */
+export default function isIdempotent(route: Route, method: string): boolean {
+  return route.idempotent ?? IDEMPOTENT_METHODS.has(method);
+}
--- /dev/null
+++ b/src/request/readRequest.ts
@@ -0,0 +1,56 @@
+import type { IncomingMessage } from 'node:http';
+import { forwardedHeaders } from './callHeaders';
+import RequestError from './RequestError';
+import type { CallRequest } from './Types';
+
+/**
+ * Refuses what two servers could read in two ways. The HTTP parser itself refuses bare line feeds
+ * and requests with both lengths.
+ *
+ * @see {@link https://www.rfc-editor.org/rfc/rfc9112#section-11.2}
+ */
+function refuseAmbiguous(message: IncomingMessage): void {
+  let hosts = 0;
+  for (let index = 0; index < message.rawHeaders.length; index += 2) {
+    if (message.rawHeaders[index]!.toLowerCase() === 'host') hosts += 1;
+  }
+  if (hosts !== 1) throw new RequestError(400, `${hosts} Host headers, expected one`);
+  if (!message.url?.startsWith('/')) throw new RequestError(400, 'the target is no absolute path');
+}
+
+async function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | null> {
+  const { 'content-length': length, 'transfer-encoding': coding } = message.headers;
+  if (length === undefined && coding === undefined) return null;
+  if (Number(length) > maxBytes) {
+    throw new RequestError(413, `a body of ${length} bytes, at most ${maxBytes}`);
+  }
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of message) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > maxBytes) throw new RequestError(413, `a body of more than ${maxBytes} bytes`);
+    chunks.push(chunk as Buffer);
+  }
+  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+}
+
+/**
+ * Takes a request in whole, so that it can be sent more than once.
+ *
+ * @param message - The request.
+ * @param maxBytes - Largest body.
+ * @returns The request without what concerns only this hop.
+ * @throws RequestError - It is malformed or too large.
+ */
+export default async function readRequest(
+  message: IncomingMessage,
+  maxBytes: number,
+): Promise<CallRequest> {
+  refuseAmbiguous(message);
+  return {
+    method: message.method!,
+    path: message.url!,
+    headers: forwardedHeaders(message.rawHeaders, message.headers.connection),
+    body: await readBody(message, maxBytes),
+  };
+}
--- /dev/null
+++ b/src/version/configurationSchema.ts
@@ -0,0 +1,89 @@
+/**
+ * Keys, types, units and bounds of the configuration files.
+ * A change in what is valid needs a new {@link SCHEMA_NUMBER}: daemons of both releases read the
+ * same stream and must come to the same verdict.
+ *
+ * @packageDocumentation
+ */
+import { z } from 'zod';
+import { DURATION_EXPECTED, parseDuration } from '../common/parseDuration';
+
+/** Number of the schema that this release reads and writes. */
+export const SCHEMA_NUMBER = 1;
+
+const MAX_SLOTS = 10_000;
+const MAX_CONNECTIONS = 10_000;
+const MAX_QUEUE = 100_000;
+const MAX_RETRIES = 5;
+const MAX_TIMEOUT_MS = 3_600_000;
+
+const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
+const PATH = /^\/[^\s?#]*$/;
+
+/** Methods that a route may name; all of them where it names none. */
+export const METHODS = ['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH'] as const;
+
+const durationMs = (maxMs: number) =>
+  z
+    .string({ error: DURATION_EXPECTED })
+    .transform((text) => parseDuration(text) ?? Number.NaN)
+    .refine((value) => !Number.isNaN(value), { error: DURATION_EXPECTED })
+    .refine((value) => Number.isNaN(value) || value <= maxMs, {
+      error: `a duration of at most ${maxMs}ms`,
+    });
+
+const integer = (min: number, max: number) =>
+  z
+    .int({ error: `a whole number from ${min} to ${max}` })
+    .min(min, { error: `a whole number from ${min} to ${max}` })
+    .max(max, { error: `a whole number from ${min} to ${max}` });
+
+const boolean = z.boolean({ error: 'true or false' });
+
+/** Names of services and routes. */
+export const nameSchema = z.string().regex(NAME, {
+  error: 'a name of lower-case letters, digits and hyphens, at most 63 long',
+});
+
+/** A `[service.NAME]` table. */
+export const serviceSchema = z.strictObject({
+  slots: integer(1, MAX_SLOTS).default(16),
+  connections: integer(1, MAX_CONNECTIONS).default(120),
+  queue: integer(0, MAX_QUEUE).optional(),
+  warm_up: durationMs(MAX_TIMEOUT_MS).default(0),
+});
+
+/** A `[route.NAME]` table. */
+export const routeSchema = z.strictObject({
+  service: nameSchema,
+  path: z
+    .string({ error: 'a path that begins with /' })
+    .regex(PATH, { error: 'a path that begins with /, without query or spaces' }),
+  methods: z
+    .array(z.enum(METHODS, { error: `one of ${METHODS.join(', ')}` }), {
+      error: 'a list of methods',
+    })
+    .min(1, { error: 'at least one method' })
+    .optional(),
+  timeout: durationMs(MAX_TIMEOUT_MS).optional(),
+  idempotent: boolean.optional(),
+  priority: z
+    .enum(['interactive', 'background'], { error: '"interactive" or "background"' })
+    .default('interactive'),
+  hedge: boolean.default(false),
+  retries: integer(0, MAX_RETRIES).optional(),
+});
+
+/** The `[defaults]` table, whose keys are overridden one by one. */
+export const defaultsSchema = z.strictObject({
+  timeout: durationMs(MAX_TIMEOUT_MS).optional(),
+  retries: integer(0, MAX_RETRIES).optional(),
+  retry_budget: z
+    .number({ error: 'a number from 0 to 1' })
+    .min(0, { error: 'a number from 0 to 1' })
+    .max(1, { error: 'a number from 0 to 1' })
+    .optional(),
+});
+
+/** Values of `[defaults]` where no file sets them. */
+export const DEFAULTS = { timeout: 10_000, retries: 2, retry_budget: 0.2 };
--- /dev/null
+++ b/src/version/mergeFolder.ts
@@ -0,0 +1,248 @@
+import { parse, TomlError } from 'smol-toml';
+import type { z } from 'zod';
+import type { FileName, RouteName, ServiceName } from '../common/Types';
+import {
+  DEFAULTS,
+  defaultsSchema,
+  METHODS,
+  nameSchema,
+  routeSchema,
+  serviceSchema,
+} from './configurationSchema';
+import { describeFound, locateLine, schemaFaults } from './faults';
+import type { Fault, Folder, FolderFile, Merge, Provenance, Route, Service } from './Types';
+
+/** Largest folder in bytes of its files, so that a checkpoint of it fits one record of the log. */
+export const MAX_FOLDER_BYTES = 512 * 1024;
+
+/** An entry that stands in the merge so far, and where it came from. */
+interface Entry {
+  readonly value: unknown;
+  readonly file: FolderFile;
+  readonly overrode: readonly FileName[];
+}
+
+/** Entries by section and name, as one file after the other sets them. */
+type Section = Map<string, Entry>;
+
+interface Sections {
+  readonly service: Section;
+  readonly route: Section;
+  readonly defaults: Section;
+}
+
+const SECTION_NAMES = ['service', 'route', 'defaults'] as const;
+
+function isTable(value: unknown): value is Record<string, unknown> {
+  return value !== null && typeof value === 'object' && !Array.isArray(value);
+}
+
+function tomlFault(file: FolderFile, error: TomlError): Fault {
+  return {
+    file: file.name,
+    line: error.line,
+    key: undefined,
+    found: describeFound(file.content.split('\n')[error.line - 1]?.trim()),
+    expected: `TOML (${error.message.split('\n')[0]!.replace('Invalid TOML document: ', '')})`,
+  };
+}
+
+function unknownSection(file: FolderFile, key: string): Fault {
+  return {
+    file: file.name,
+    line: locateLine(file.content, key),
+    key,
+    found: 'an unknown key',
+    expected: 'a table [service.NAME], [route.NAME] or [defaults]',
+  };
+}
+
+function addEntry(section: Section, name: string, value: unknown, file: FolderFile): void {
+  const earlier = section.get(name);
+  const overrode = earlier ? [...earlier.overrode, earlier.file.name] : [];
+  section.set(name, { value, file, overrode });
+}
+
+function collect(file: FolderFile, sections: Sections): Fault[] {
+  let document: Record<string, unknown>;
+  try {
+    document = parse(file.content);
+  } catch (error) {
+    if (error instanceof TomlError) return [tomlFault(file, error)];
+    throw error;
+  }
+  const faults: Fault[] = [];
+  for (const [key, table] of Object.entries(document)) {
+    const sectionName = SECTION_NAMES.find((name) => name === key);
+    if (!sectionName || !isTable(table)) {
+      faults.push(unknownSection(file, key));
+      continue;
+    }
+    for (const [name, value] of Object.entries(table)) {
+      addEntry(sections[sectionName], name, value, file);
+    }
+  }
+  return faults;
+}
+
+function parseEntries<Schema extends z.ZodType>(
+  kind: 'service' | 'route',
+  section: Section,
+  schema: Schema,
+  faults: Fault[],
+): Map<string, z.output<Schema>> {
+  const parsed = new Map<string, z.output<Schema>>();
+  for (const [name, { value, file }] of section) {
+    const table = `${kind}.${name}`;
+    const place = { file: file.name, content: file.content, table };
+    const nameResult = nameSchema.safeParse(name);
+    if (!nameResult.success) faults.push(...schemaFaults(nameResult.error, name, place));
+    const result = schema.safeParse(value);
+    if (result.success) parsed.set(name, result.data);
+    else faults.push(...schemaFaults(result.error, value, place));
+  }
+  return parsed;
+}
+
+function parseDefaults(section: Section, faults: Fault[]): typeof DEFAULTS {
+  const merged: Record<string, unknown> = { ...DEFAULTS };
+  for (const [key, { value, file }] of section) {
+    const result = defaultsSchema.safeParse({ [key]: value });
+    const place = { file: file.name, content: file.content, table: 'defaults' };
+    if (result.success) Object.assign(merged, result.data);
+    else faults.push(...schemaFaults(result.error, { [key]: value }, place));
+  }
+  return merged as typeof DEFAULTS;
+}
+
+function buildService(name: string, parsed: z.output<typeof serviceSchema>): Service {
+  return {
+    name: name as ServiceName,
+    slots: parsed.slots,
+    connections: parsed.connections,
+    queue: parsed.queue ?? parsed.slots,
+    warmUpMs: parsed.warm_up,
+  };
+}
+
+function buildRoute(
+  name: string,
+  parsed: z.output<typeof routeSchema>,
+  defaults: typeof DEFAULTS,
+): Route {
+  return {
+    name: name as RouteName,
+    service: parsed.service as ServiceName,
+    path: parsed.path,
+    methods: parsed.methods ?? METHODS,
+    timeoutMs: parsed.timeout ?? defaults.timeout,
+    idempotent: parsed.idempotent,
+    priority: parsed.priority,
+    hedge: parsed.hedge,
+    retries: parsed.retries ?? defaults.retries,
+  };
+}
+
+function routeFault(
+  sections: Sections,
+  route: Route,
+  key: string,
+  detail: Pick<Fault, 'found' | 'expected'>,
+): Fault {
+  const { file } = sections.route.get(route.name)!;
+  const table = `route.${route.name}`;
+  return {
+    file: file.name,
+    line: locateLine(file.content, table, key),
+    key: `${table}.${key}`,
+    ...detail,
+  };
+}
+
+/** Finds routes that name no declared service, and routes that match the same calls. */
+function crossFaults(
+  sections: Sections,
+  services: ReadonlyMap<ServiceName, Service>,
+  routes: readonly Route[],
+): Fault[] {
+  const faults: Fault[] = [];
+  const owners = new Map<string, Route>();
+  for (const route of routes) {
+    if (!services.has(route.service)) {
+      faults.push(
+        routeFault(sections, route, 'service', {
+          found: `"${route.service}"`,
+          expected: 'a service that some file declares',
+        }),
+      );
+    }
+    const taken = route.methods
+      .map((method) => owners.get(`${method} ${route.path}`))
+      .find(Boolean);
+    if (taken) {
+      faults.push(
+        routeFault(sections, route, 'path', {
+          found: `"${route.path}"`,
+          expected: `a path and methods that route.${taken.name} doesn't match already`,
+        }),
+      );
+    }
+    for (const method of route.methods) owners.set(`${method} ${route.path}`, route);
+  }
+  return faults;
+}
+
+function provenance(sections: Sections): Provenance[] {
+  return SECTION_NAMES.flatMap((section) =>
+    [...sections[section]].map(([name, { file, overrode }]) => ({
+      key: `${section}.${name}`,
+      file: file.name,
+      overrode,
+    })),
+  );
+}
+
+function sizeFaults(folder: Folder): Fault[] {
+  const bytes = folder.reduce((sum, { content }) => sum + Buffer.byteLength(content), 0);
+  if (bytes <= MAX_FOLDER_BYTES) return [];
+  return [
+    {
+      file: undefined,
+      line: undefined,
+      key: undefined,
+      found: `a folder of ${bytes} bytes`,
+      expected: `at most ${MAX_FOLDER_BYTES} bytes, so that it fits one record of the log`,
+    },
+  ];
+}
+
+/**
+ * Merges the files of a folder in name order and validates the whole. A later file replaces a whole
+ * service, a whole route or one key of the defaults. Pure: every daemon comes to the same result.
+ *
+ * @param folder - Files in name order.
+ * @returns The configuration, or every fault found.
+ */
+export function mergeFolder(folder: Folder): Merge {
+  const sections: Sections = { service: new Map(), route: new Map(), defaults: new Map() };
+  const faults = [...sizeFaults(folder), ...folder.flatMap((file) => collect(file, sections))];
+  const defaults = parseDefaults(sections.defaults, faults);
+  const parsedServices = parseEntries('service', sections.service, serviceSchema, faults);
+  const parsedRoutes = parseEntries('route', sections.route, routeSchema, faults);
+  const services = new Map(
+    [...parsedServices].map(([name, parsed]) => [name as ServiceName, buildService(name, parsed)]),
+  );
+  const routes = [...parsedRoutes].map(([name, parsed]) => buildRoute(name, parsed, defaults));
+  // References are judged only once all entries parse: a broken service would be reported twice.
+  if (faults.length === 0) faults.push(...crossFaults(sections, services, routes));
+  if (faults.length > 0) return { kind: 'invalid', faults };
+  return {
+    kind: 'valid',
+    configuration: {
+      services,
+      routes: new Map(routes.map((route) => [route.name, route])),
+      retryBudget: defaults.retry_budget,
+      provenance: provenance(sections),
+    },
+  };
+}
--- /dev/null
+++ b/src/version/recordSchema.ts
@@ -0,0 +1,104 @@
+/**
+ * Encoding of the records of the configuration stream.
+ *
+ * @packageDocumentation
+ */
+import { z } from 'zod';
+import type { Digest, FileName, Offset, PublicationId, VersionNumber } from '../common/Types';
+import type { ConfigurationRecord, Delta } from './Types';
+
+const offset = z
+  .int()
+  .min(0)
+  .transform((value) => value as Offset);
+const version = z
+  .int()
+  .min(0)
+  .transform((value) => value as VersionNumber);
+const publicationId = z
+  .string()
+  .min(1)
+  .max(64)
+  .transform((value) => value as PublicationId);
+const digest = z
+  .string()
+  .length(64)
+  .transform((value) => value as Digest);
+const fileName = z
+  .string()
+  .min(1)
+  .max(255)
+  .transform((value) => value as FileName);
+
+/** A file that is set, or removed by null. */
+export const fileChangeSchema = z.object({ name: fileName, content: z.string().nullable() });
+
+const publicationSchema = z.object({
+  kind: z.literal('publication'),
+  schema: z.int(),
+  id: publicationId,
+  base: version.nullable(),
+  changes: z.array(fileChangeSchema),
+  digest,
+});
+
+const checkpointSchema = z.object({
+  kind: z.literal('checkpoint'),
+  schema: z.int(),
+  through: offset,
+  head: z.object({
+    schema: z.int(),
+    version,
+    publicationId,
+    digest,
+    folder: z.array(z.object({ name: fileName, content: z.string() })),
+  }),
+});
+
+/** A {@link Delta} as peers send it. */
+export const deltaSchema: z.ZodType<Delta> = z.object({
+  base: version.nullable(),
+  schema: z.int(),
+  version,
+  publicationId,
+  digest,
+  changes: z.array(fileChangeSchema),
+});
+
+const recordSchema = z.discriminatedUnion('kind', [publicationSchema, checkpointSchema]);
+const envelopeSchema = z.looseObject({ schema: z.int() });
+
+/** What decoding a record gave. */
+export type DecodedRecord =
+  | { readonly kind: 'record'; readonly record: ConfigurationRecord }
+  | { readonly kind: 'unknown schema'; readonly schema: number }
+  | { readonly kind: 'malformed' };
+
+/**
+ * @param record - The record.
+ * @returns Its text in the log.
+ */
+export function encodeRecord(record: ConfigurationRecord): string {
+  return JSON.stringify(record);
+}
+
+/**
+ * @param text - A record as the log holds it.
+ * @param knownSchema - Highest schema number that this release reads.
+ * @returns The record, or why it can't be read.
+ */
+export function decodeRecord(text: string, knownSchema: number): DecodedRecord {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return { kind: 'malformed' };
+  }
+  const envelope = envelopeSchema.safeParse(value);
+  if (!envelope.success) return { kind: 'malformed' };
+  if (envelope.data.schema > knownSchema) {
+    return { kind: 'unknown schema', schema: envelope.data.schema };
+  }
+  const result = recordSchema.safeParse(value);
+  return result.success ? { kind: 'record', record: result.data } : { kind: 'malformed' };
+}
