--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -19,6 +19,11 @@
     plugins: { tsdoc },
     rules: { 'tsdoc/syntax': 'error' },
   },
+  {
+    // A test keeps its naive and broken variants beside it.
+    files: ['**/*.test.ts'],
+    rules: { 'max-classes-per-file': 'off' },
+  },
   {
     rules: {
       // Prettier owns the layout of the code.
--- a/src/connection/Joiner.ts
+++ b/src/connection/Joiner.ts
@@ -89,7 +89,7 @@
   private async contactByLog(signal: AbortSignal): Promise<void> {
     const contacts = await this.readContacts(signal);
     const reached = await this.contact(contacts);
-    const announced = contacts.some(({ id, address }) => this.isSelf(id, address));
+    const announced = contacts.some(({ address }) => address === this.members.self.address);
     if (!reached && !announced) await this.announce();
   }
 
--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -34,8 +34,9 @@
 
   /** @param options - Limits of the HTTP server. */
   public constructor(options: ServerOptions = {}) {
-    this.server = createServer({ noDelay: true, ...options }, (message, response) =>
-      this.dispatch(message, response),
+    this.server = createServer(
+      { noDelay: true, requireHostHeader: false, ...options },
+      (message, response) => this.dispatch(message, response),
     );
     this.server.on('clientError', refuseMalformed);
   }
--- /dev/null
+++ b/src/process/settings.test.ts
@@ -0,0 +1,51 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { parseSettings } from './settings';
+
+const VALID = `[daemon]
+name = "coq-1"
+zone = "coq"
+calls = "10.0.0.7:7000"
+peers = "10.0.0.7:7001"
+control = "127.0.0.1:7002"
+[log]
+address = "10.0.0.2:9000"
+`;
+
+function outcome(content: string): string {
+  try {
+    return JSON.stringify(parseSettings(content, 'daemon.toml'), undefined, 1);
+  } catch (error) {
+    return (error as Error).message;
+  }
+}
+
+test('defaults are filled in', () => {
+  const { log, peers, calls } = parseSettings(VALID, 'daemon.toml');
+  assert.snapshot(
+    JSON.stringify({ log, peers, calls }),
+    '{"log":{"address":"10.0.0.2:9000","stream_prefix":"","retention":86400000,"readers_per_zone":2,"stale":10000},"peers":{"seeds":[],"heartbeat":2000,"suspicion":5000,"tombstone":600000,"cut":7200000},"calls":{"max_body_bytes":1048576,"max_header_bytes":16384,"max_open":2000,"peer_connections":16,"silence":1000,"receive":30000}}',
+  );
+});
+
+test('mistakes are named by file, key, what was found and what was expected', () => {
+  const cases = [
+    '[daemon',
+    VALID.replace('10.0.0.7:7000', 'localhost:7000'),
+    VALID.replace('[log]', '[log]\nretention = "soon"'),
+    VALID.replace('[log]', '[log]\nreaders = 3'),
+    VALID.replace('zone = "coq"\n', ''),
+    `${VALID}[calls]\nmax_open = 0\n`,
+  ];
+  assert.snapshot(
+    cases.map(outcome).join('\n'),
+    `daemon.toml:1: found no TOML: Invalid TOML document: incomplete key-value: cannot find end of key
+daemon.toml: daemon.calls: found "localhost:7000", expected an IP number and a port, such as "10.0.0.7:7000"
+daemon.toml: log.retention: found "soon", expected a duration with its unit, such as "500ms", "2s", "1m" or "1h"
+daemon.toml: log.readers: found an unknown key, expected a key that docs/CONFIGURATION.md lists
+daemon.toml: daemon.zone: found nothing, expected a name
+daemon.toml: calls.max_open: found 0, expected a whole number from 1 to 1000000`,
+  );
+});
+
+test.run();
--- /dev/null
+++ b/src/request/Admission.test.ts
@@ -0,0 +1,131 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import ManualClock from '../../stand-in/ManualClock';
+import type { ServiceName } from '../common/Types';
+import type { Priority, Service } from '../version/Types';
+import Admission, { type Release } from './Admission';
+
+const SERVICE: Service = {
+  name: 'stock' as ServiceName,
+  slots: 2,
+  connections: 10,
+  queue: 2,
+  warmUpMs: 0,
+};
+const NEVER = new AbortController().signal;
+
+/** Lets the promises that are settled run their continuations. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 10; turn += 1) await Promise.resolve();
+}
+
+class Trace {
+  public readonly lines: string[] = [];
+
+  public readonly releases = new Map<string, Release>();
+
+  public constructor(private readonly admission: Admission) {}
+
+  public ask(
+    name: string,
+    priority: Priority = 'interactive',
+    deadline = Infinity,
+    signal = NEVER,
+  ): void {
+    this.admission.acquire(priority, deadline, signal).then(
+      (release) => {
+        this.lines.push(`${name} runs`);
+        this.releases.set(name, release);
+      },
+      (error: Error) => this.lines.push(`${name} not run: ${error.message}`),
+    );
+  }
+}
+
+test('no more run than there are slots; the queue is short; interactive calls go first', async () => {
+  const admission = new Admission(SERVICE, new ManualClock(), 0);
+  const trace = new Trace(admission);
+  for (const name of ['a', 'b']) trace.ask(name);
+  trace.ask('background', 'background');
+  trace.ask('interactive');
+  trace.ask('refused');
+  await settle();
+  trace.releases.get('a')!();
+  await settle();
+  trace.releases.get('b')!();
+  await settle();
+  assert.snapshot(
+    trace.lines.join('\n'),
+    `a runs
+b runs
+refused not run: the queue is full
+interactive runs
+background runs`,
+  );
+});
+
+test('a caller that leaves the queue frees its place and never runs', async () => {
+  const admission = new Admission(SERVICE, new ManualClock(), 0);
+  const trace = new Trace(admission);
+  const left = new AbortController();
+  for (const name of ['a', 'b']) trace.ask(name);
+  trace.ask('leaver', 'interactive', Infinity, left.signal);
+  trace.ask('c');
+  await settle();
+  left.abort();
+  await settle();
+  trace.ask('d');
+  trace.releases.get('a')!();
+  await settle();
+  trace.releases.get('b')!();
+  await settle();
+  assert.snapshot(
+    trace.lines.join('\n'),
+    `a runs
+b runs
+leaver not run: the caller left while it waited
+c runs
+d runs`,
+  );
+});
+
+test('a wait that would pass the deadline is refused at once', async () => {
+  const clock = new ManualClock();
+  const admission = new Admission(SERVICE, clock, 0);
+  const trace = new Trace(admission);
+  for (let turn = 0; turn < 50; turn += 1) {
+    trace.ask('warm');
+    await settle();
+    clock.advance(100);
+    trace.releases.get('warm')!();
+    await settle();
+  }
+  trace.lines.length = 0;
+  for (const name of ['a', 'b']) trace.ask(name);
+  trace.ask('hurried', 'interactive', clock.now() + 20);
+  trace.ask('patient', 'interactive', clock.now() + 1_000);
+  await settle();
+  assert.snapshot(
+    trace.lines.join('\n'),
+    `a runs
+b runs
+hurried not run: the wait would pass the deadline`,
+  );
+  assert.is(admission.waiting, 1);
+});
+
+test('a cold upstream gets its slots step by step', async () => {
+  const clock = new ManualClock();
+  const admission = new Admission({ ...SERVICE, slots: 8, queue: 0, warmUpMs: 1_000 }, clock, 0);
+  const counts: number[] = [];
+  for (const at of [0, 500, 1_000]) {
+    clock.advance(at - clock.now());
+    const trace = new Trace(admission);
+    for (let call = 0; call < 10; call += 1) trace.ask('call');
+    await settle();
+    counts.push(admission.running);
+  }
+  assert.equal(counts, [2, 4, 8]);
+});
+
+test.run();
--- /dev/null
+++ b/src/version/mergeFolder.test.ts
@@ -0,0 +1,97 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { FileName } from '../common/Types';
+import { formatFault } from './faults';
+import { sortedFolder } from './folder';
+import { MAX_FOLDER_BYTES, mergeFolder } from './mergeFolder';
+
+function folderOf(files: Readonly<Record<string, string>>) {
+  return sortedFolder(
+    Object.entries(files).map(([name, content]) => ({ name: name as FileName, content })),
+  );
+}
+
+function describe(files: Readonly<Record<string, string>>): string {
+  const merge = mergeFolder(folderOf(files));
+  if (merge.kind === 'invalid') return merge.faults.map(formatFault).join('\n');
+  const { services, routes, provenance } = merge.configuration;
+  const origins = provenance.map(
+    ({ key, file, overrode }) =>
+      `${key} < ${file}${overrode.length > 0 ? ` over ${overrode.join(' ')}` : ''}`,
+  );
+  return [
+    ...[...services.values()].map((service) => JSON.stringify(service)),
+    ...[...routes.values()].map((route) => JSON.stringify(route)),
+    ...origins,
+  ].join('\n');
+}
+
+const SERVICE = '[service.stock]\nslots = 18\n';
+
+test('a later file replaces a whole entry or one default', () => {
+  assert.snapshot(
+    describe({
+      '20.toml':
+        '[route.get]\nservice = "stock"\npath = "/stock"\nmethods = ["GET"]\ntimeout = "2s"\n',
+      '10.toml': `${SERVICE}[defaults]\ntimeout = "1s"\nretries = 1\n`,
+      'é.toml': '[service.stock]\nqueue = 3\n',
+      'z.toml':
+        '[defaults]\ntimeout = "4s"\n[route.other]\nservice = "stock"\npath = "/other"\nmethods = ["POST"]\n',
+    }),
+    `{"name":"stock","slots":16,"connections":120,"queue":3,"warmUpMs":0}
+{"name":"get","service":"stock","path":"/stock","methods":["GET"],"timeoutMs":2000,"priority":"interactive","hedge":false,"retries":1}
+{"name":"other","service":"stock","path":"/other","methods":["POST"],"timeoutMs":4000,"priority":"interactive","hedge":false,"retries":1}
+service.stock < é.toml over 10.toml
+route.get < 20.toml
+route.other < z.toml
+defaults.timeout < z.toml over 10.toml
+defaults.retries < 10.toml`,
+  );
+});
+
+test('every kind of bad input is named with its place', () => {
+  const cases: Readonly<Record<string, string>> = {
+    'TOML error': '[service.stock\nslots = 1\n',
+    'same route twice': `${SERVICE}[route.a]\nservice = "stock"\npath = "/a"\n[route.a]\nservice = "stock"\npath = "/b"\n`,
+    'same match twice': `${SERVICE}[route.a]\nservice = "stock"\npath = "/a"\n[route.b]\nservice = "stock"\npath = "/a"\nmethods = ["GET"]\n`,
+    'unknown key': `${SERVICE}colour = "red"\n`,
+    'unknown section': '[server.stock]\nslots = 1\n',
+    'undeclared service': '[route.a]\nservice = "stock"\npath = "/a"\n',
+    'wrong unit': `${SERVICE}warm_up = "2 fortnights"\n`,
+    'unit missing': `${SERVICE}warm_up = 2\n`,
+    'out of range': '[service.stock]\nslots = 0\n',
+    'wrong type': '[service.stock]\nslots = "many"\n',
+    'wrong method': `${SERVICE}[route.a]\nservice = "stock"\npath = "/a"\nmethods = ["FETCH"]\n`,
+    'no path': `${SERVICE}[route.a]\nservice = "stock"\n`,
+    'bad name': '[service.Stock_1]\nslots = 1\n',
+  };
+  const lines = Object.entries(cases).map(
+    ([name, content]) => `${name} -> ${describe({ '10.toml': content })}`,
+  );
+  assert.snapshot(
+    lines.join('\n'),
+    `TOML error -> 10.toml:1: found "[service.stock", expected TOML (illegal character in key)
+same route twice -> 10.toml:6: found "[route.a]", expected TOML (trying to redefine an already defined table or value)
+same match twice -> 10.toml:8: route.b.path: found "/a", expected a path and methods that route.a doesn't match already
+unknown key -> 10.toml:3: service.stock.colour: found an unknown key, expected a key that docs/CONFIGURATION.md lists
+unknown section -> 10.toml: server: found an unknown key, expected a table [service.NAME], [route.NAME] or [defaults]
+undeclared service -> 10.toml:2: route.a.service: found "stock", expected a service that some file declares
+wrong unit -> 10.toml:3: service.stock.warm_up: found "2 fortnights", expected a duration with its unit, such as "500ms", "2s", "1m" or "1h"
+unit missing -> 10.toml:3: service.stock.warm_up: found 2, expected a duration with its unit, such as "500ms", "2s", "1m" or "1h"
+out of range -> 10.toml:2: service.stock.slots: found 0, expected a whole number from 1 to 10000
+wrong type -> 10.toml:2: service.stock.slots: found "many", expected a whole number from 1 to 10000
+wrong method -> 10.toml:6: route.a.methods.0: found "FETCH", expected one of GET, HEAD, OPTIONS, PUT, DELETE, POST, PATCH
+no path -> 10.toml:3: route.a.path: found nothing, expected a path that begins with /
+bad name -> 10.toml:1: service.Stock_1: found "Stock_1", expected a name of lower-case letters, digits and hyphens, at most 63 long`,
+  );
+});
+
+test('a folder too large for a record is refused', () => {
+  const comment = `# ${'x'.repeat(1_000)}\n`;
+  assert.is(
+    describe({ '10.toml': comment.repeat(MAX_FOLDER_BYTES / 1_000) }),
+    'found a folder of 525572 bytes, expected at most 524288 bytes, so that it fits one record of the log',
+  );
+});
+
+test.run();
