Prove calls under failure and measure path and fleet

Cause: calls had no proof under failure, and nothing was measured.

Ruled out: a shorter deadline for all (room plans may take long).

Change: every idempotent call gets a second attempt once it is a straggler, within the budget; an upstream with slots and queue filled by this daemon's own calls isn't chosen; the answer to a draining announcement comes once nothing is under way.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,9 +20,9 @@
     rules: { 'tsdoc/syntax': 'error' },
   },
   {
-    // A test keeps its naive and broken variants beside it.
-    files: ['**/*.test.ts'],
-    rules: { 'max-classes-per-file': 'off' },
+    // A test keeps its naive and broken variants beside it, an experiment its actors.
+    files: ['**/*.test.ts', 'bench/**'],
+    rules: { 'max-classes-per-file': 'off', 'no-param-reassign': ['error', { props: false }] },
   },
   {
     rules: {
--- a/src/process/Daemon.ts
+++ b/src/process/Daemon.ts
@@ -1,7 +1,10 @@
 import sleep from '../common/sleep';
-import type { Address, Disposable, Logger } from '../common/Types';
+import type { Address, Disposable, Event, Logger } from '../common/Types';
 import type MemberTable from '../connection/MemberTable';
+import type SocketMeter from '../connection/SocketMeter';
+import type { SocketBytes } from '../connection/SocketMeter';
 import type CallHandler from '../request/CallHandler';
+import type { CurrentVersion, Snapshot } from '../version/Types';
 import type Listener from './Listener';
 import type UpstreamRegistration from './UpstreamRegistration';
 
@@ -19,6 +22,8 @@
 export interface DaemonParts {
   readonly addresses: DaemonAddresses;
   readonly members: MemberTable;
+  readonly versions: CurrentVersion;
+  readonly meter: SocketMeter;
   readonly registration: UpstreamRegistration;
   readonly calls: CallHandler;
   readonly callListener: Listener;
@@ -45,6 +50,21 @@
     return this.parts.addresses;
   }
 
+  /** Fires when a version comes into force. */
+  public get onSwap(): Event<Snapshot> {
+    return this.parts.versions.onSwap;
+  }
+
+  /** Bytes exchanged with peers and the log, calls left out. */
+  public get controlBytes(): SocketBytes {
+    return this.parts.meter.bytes;
+  }
+
+  /** Live daemons known, this one included. */
+  public get memberCount(): number {
+    return this.parts.members.live().length;
+  }
+
   /** Starts the tasks. */
   public start(): void {
     this.running = Promise.all(this.parts.tasks.map((task) => task(this.end.signal)));
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -92,10 +92,17 @@
     return this.registered?.upstream?.load ?? 0;
   }
 
-  /** @param announcement - What the upstream says; renews its lease. */
-  public announce(announcement: Announcement): void {
-    const before = this.registered;
-    if (before && before.announcement.address !== announcement.address) this.retire();
+  /**
+   * Renews the lease of the upstream.
+   *
+   * @param announcement - What the upstream says.
+   * @returns Resolves at once, but for an upstream that drains only once nothing is under way at it,
+   * so that it can end safely.
+   */
+  public async announce(announcement: Announcement): Promise<void> {
+    const before = this.registered?.announcement;
+    const restarted = before?.state === 'draining' && announcement.state !== 'draining';
+    if (restarted || before?.address !== announcement.address) this.retire();
     if (this.registered) {
       this.registered.announcement = announcement;
       this.registered.renewedAt = this.clock.now();
@@ -107,6 +114,7 @@
       });
     }
     this.refresh();
+    if (announcement.state === 'draining') await this.registered.upstream?.drain();
   }
 
   /** Takes no new work from now on; resolves once what runs has ended. */
@@ -114,7 +122,7 @@
     this.stopping = true;
     this.publish();
     const upstreams = [this.registered?.upstream, ...this.retired];
-    await Promise.all(upstreams.map((upstream) => upstream?.drained()));
+    await Promise.all(upstreams.map((upstream) => upstream?.drain()));
   }
 
   public dispose(): void {
@@ -161,7 +169,7 @@
     this.registered = undefined;
     if (!upstream) return;
     this.retired.push(upstream);
-    void upstream.drained().then(() => {
+    void upstream.drain().then(() => {
       upstream.dispose();
       this.retired = this.retired.filter((other) => other !== upstream);
     });
--- a/src/process/serveOperators.ts
+++ b/src/process/serveOperators.ts
@@ -30,7 +30,7 @@
     reply(response, 400, { error: `${issue!.path.join('.')}: ${issue!.message}` });
     return;
   }
-  registration.announce(result.data);
+  await registration.announce(result.data);
   reply(response, 200, { renewed: true });
 }
 
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -65,7 +65,7 @@
       max_body_bytes: count(1, 256 * MEBIBYTE, MEBIBYTE),
       max_header_bytes: count(1024, MEBIBYTE, 16 * 1024),
       max_open: count(1, 1_000_000, 2_000),
-      peer_connections: count(1, 1_000, 16),
+      peer_connections: count(1, 1_000, 128),
       silence: duration('1s'),
       receive: duration('30s'),
     })
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -314,6 +314,8 @@
   return new Daemon({
     addresses,
     members,
+    versions,
+    meter,
     registration,
     calls,
     callListener: listeners.calls,
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -17,6 +17,11 @@
 } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
 
+const HEDGE_LATENCIES = 3;
+const MIN_HEDGE_MS = 5;
+const RESCUE_LATENCIES = 10;
+const MIN_RESCUE_MS = 1_000;
+
 /** What every call uses. */
 export interface CallServices {
   readonly balancer: Balancer;
@@ -100,13 +105,16 @@
   }
 
   private settle(error: CallError): CallError {
-    if (!this.mayHaveRun || error instanceof UnknownOutcomeError) return error;
-    return new UnknownOutcomeError(`${error.message}; an earlier attempt may have run`);
+    const reason = `${error.message} (attempts: ${[...this.tried].join(', ') || 'none'})`;
+    if (error instanceof NotRunError && !this.mayHaveRun) {
+      return new NotRunError(reason, error.load);
+    }
+    return new UnknownOutcomeError(reason);
   }
 
-  /** Sends a second attempt where the first is a straggler. */
+  /** Sends a second attempt where the first is a straggler and the call may run twice. */
   private hedged(upstream: Upstream, signal: AbortSignal): Promise<Answer> {
-    if (!this.terms.route.hedge || !this.idempotent) return this.attempt(upstream, signal);
+    if (!this.idempotent || this.attemptsAbove > 1) return this.attempt(upstream, signal);
     const { balancer } = this.services;
     const first = (cancel: AbortSignal) => this.attempt(upstream, cancel);
     const second = () => {
@@ -115,7 +123,15 @@
       this.services.onAttempt('hedge');
       return (cancel: AbortSignal) => this.attempt(other, cancel);
     };
-    return hedgedAttempt(first, second, balancer.hedgeDelayMs(this.terms.service.name), signal);
+    return hedgedAttempt(first, second, this.stragglerMs(), signal);
+  }
+
+  /** Milliseconds after which an attempt counts as a straggler. */
+  private stragglerMs(): number {
+    const averageMs = this.services.balancer.latencyMs(this.terms.service.name);
+    return this.terms.route.hedge
+      ? Math.max(MIN_HEDGE_MS, HEDGE_LATENCIES * averageMs)
+      : Math.max(MIN_RESCUE_MS, RESCUE_LATENCIES * averageMs);
   }
 
   private async attempt(upstream: Upstream, signal: AbortSignal): Promise<Answer> {
@@ -133,7 +149,9 @@
     } catch (error) {
       if (error instanceof NotRunError && error.load !== undefined) {
         result = { kind: 'refused', load: error.load };
-      } else if (!signal.aborted) result = { kind: 'failed' };
+      } else if (!signal.aborted || clock.now() - began > this.stragglerMs()) {
+        result = { kind: 'failed' };
+      }
       throw error;
     } finally {
       balancer.end(upstream, result);
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -26,10 +26,12 @@
 
   private readonly origin: string;
 
-  /** Calls that the upstream hasn't finished. */
+  /** Attempts taken whose answers aren't complete. */
   private open = 0;
 
-  private idle: (() => void) | undefined;
+  private draining = false;
+
+  private readonly drainWaiters: (() => void)[] = [];
 
   /**
    * @param service - The service it belongs to, in the current version.
@@ -80,8 +82,10 @@
     signal: AbortSignal,
   ): Promise<Answer> {
     const { id } = context;
+    if (this.draining) throw new NotRunError('the upstream takes no new work');
     if (!this.registry.begin(id)) throw new NotRunError('the attempt was forbidden before it came');
     let ran = false;
+    this.open += 1;
     try {
       const release = await this.admission.acquire(context.priority, context.deadline, signal);
       if (signal.aborted || !this.registry.start(id)) {
@@ -93,15 +97,17 @@
     } catch (error) {
       // A request that was never sent hasn't run, although it had its slot.
       this.registry.end(id, ran && !(error instanceof NotRunError));
+      this.close();
       throw error;
     }
   }
 
-  /** Resolves once no call is open. */
-  public async drained(): Promise<void> {
+  /** Takes no attempt from now on; resolves once those taken have ended. */
+  public async drain(): Promise<void> {
+    this.draining = true;
     if (this.open === 0) return;
     await new Promise<void>((resolve) => {
-      this.idle = resolve;
+      this.drainWaiters.push(resolve);
     });
   }
 
@@ -116,7 +122,6 @@
     release: () => void,
   ): Promise<Answer> {
     const now = this.clock.now();
-    this.open += 1;
     let answer: StreamedAnswer;
     try {
       answer = await exchange({
@@ -129,20 +134,21 @@
         signal,
       });
     } catch (error) {
-      this.close(release);
+      release();
       throw LocalUpstream.translate(error as Error);
     }
     answer.onceClosed(() => {
       this.registry.end(context.id, true);
-      this.close(release);
+      release();
+      this.close();
     });
     return answer;
   }
 
-  private close(release: () => void): void {
-    release();
+  private close(): void {
     this.open -= 1;
-    if (this.open === 0) this.idle?.();
+    if (this.open > 0) return;
+    for (const resolve of this.drainWaiters.splice(0)) resolve();
   }
 
   private static translate(error: Error): Error {
--- a/src/request/TwoChoiceBalancer.ts
+++ b/src/request/TwoChoiceBalancer.ts
@@ -8,8 +8,6 @@
 const LOAD_FRESH_MS = 1_000;
 const BAD_HINT_FACTOR = 4;
 const COLD_SHARE = 0.25;
-const HEDGE_LATENCIES = 3;
-const MIN_HEDGE_MS = 5;
 const FORGET_AFTER_MS = 600_000;
 
 /** How much less a cold upstream is chosen. */
@@ -40,7 +38,9 @@
   public choose(service: Service, exclude: ReadonlySet<DaemonId>): Upstream | undefined {
     const now = this.clock.now();
     const all = this.directory.upstreams(service.name);
-    const untried = exclude.size === 0 ? all : all.filter(({ daemon }) => !exclude.has(daemon));
+    const untried = all.filter(
+      ({ daemon }) => !exclude.has(daemon) && !this.isFull(daemon, service),
+    );
     const pool = this.nearest(this.fit(untried, now), service, now);
     if (pool.length < 2) return pool[0];
     const first = this.random.below(pool.length);
@@ -71,8 +71,8 @@
     }
   }
 
-  public hedgeDelayMs(service: ServiceName): number {
-    return Math.max(MIN_HEDGE_MS, HEDGE_LATENCIES * (this.latencies.get(service) ?? MIN_HEDGE_MS));
+  public latencyMs(service: ServiceName): number {
+    return this.latencies.get(service) ?? FIRST_LATENCY_MS;
   }
 
   /** Forgets upstreams that weren't used for long. */
@@ -110,6 +110,11 @@
     return spared ? near : upstreams;
   }
 
+  /** What goes beyond slots and queue would only be sent to be refused. */
+  private isFull(daemon: DaemonId, { slots, queue }: Service): boolean {
+    return (this.standings.get(daemon)?.inFlight ?? 0) >= slots + queue;
+  }
+
   /** Own calls count at once; what the answers said of others' calls counts while it is fresh. */
   private loadOf(daemon: DaemonId, service: Service, now: number): number {
     const standing = this.standings.get(daemon);
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -133,9 +133,9 @@
   end(upstream: Upstream, result: AttemptResult): void;
   /**
    * @param service - Name of the service.
-   * @returns Milliseconds after which an answer counts as a straggler.
+   * @returns Milliseconds that its answers take on average.
    */
-  hedgeDelayMs(service: ServiceName): number;
+  latencyMs(service: ServiceName): number;
 }
 
 /** What one attempt showed about its upstream. */
--- a/stand-in/UpstreamServer.ts
+++ b/stand-in/UpstreamServer.ts
@@ -60,6 +60,7 @@
   /** Announces the drain, finishes what runs and closes. */
   public async stop(): Promise<void> {
     this.state = 'draining';
+    clearInterval(this.timer);
     await this.announce();
     while (this.running > 0) await delay(5);
     this.dispose();
--- /dev/null
+++ b/test/callFaults.test.ts
@@ -0,0 +1,272 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import CallerLoad, { type CallRecord } from '../stand-in/CallerLoad';
+import Fleet, { eventually, type FleetProcess } from '../stand-in/Fleet';
+import UpstreamServer, { type LedgerEntry } from '../stand-in/UpstreamServer';
+import {
+  allKnown,
+  brokenPromises,
+  folderOf,
+  inForce,
+  ledgerOf,
+  publish,
+  QUICK,
+  startDaemons,
+  writeFolder,
+  type DaemonProcess,
+} from './support';
+
+const ZONES = ['coq', 'coq', 'rogers', 'rogers'];
+const WORK_MS = 3;
+
+type UpstreamProcess = FleetProcess<{ port: number }>;
+
+/** A mesh whose first daemon has no upstream: callers use it while others come and go. */
+interface Mesh {
+  readonly fleet: Fleet;
+  readonly entry: DaemonProcess;
+  readonly daemons: readonly DaemonProcess[];
+  readonly upstreams: readonly UpstreamProcess[];
+}
+
+async function serving(entry: DaemonProcess, count: number): Promise<void> {
+  await eventually(`${count} upstreams serve`, async () => {
+    const { control } = entry.ready.listening;
+    const answer = await fetch(`http://${control}/explain?method=GET&path=/rentals`);
+    const { upstreams } = (await answer.json()) as { upstreams: unknown[] };
+    return upstreams.length === count;
+  });
+}
+
+async function withMesh(scenario: (mesh: Mesh) => Promise<void>): Promise<void> {
+  const fleet = new Fleet();
+  try {
+    await fleet.startLog();
+    const [entry, ...daemons] = await startDaemons(fleet, ZONES);
+    await publish(fleet, writeFolder(fleet, 'folder', folderOf(['rentals'], 'first')));
+    await inForce(0, [entry!, ...daemons]);
+    const upstreams = await Promise.all(
+      daemons.map((daemon) => fleet.startUpstream('rentals', daemon, WORK_MS)),
+    );
+    await serving(entry!, upstreams.length);
+    await scenario({ fleet, entry: entry!, daemons, upstreams });
+  } finally {
+    await fleet.dispose();
+  }
+}
+
+function loadOn(entry: DaemonProcess, method: string, query = ''): CallerLoad {
+  return new CallerLoad({
+    daemons: [entry.ready.listening.calls],
+    method,
+    path: `/rentals${query}`,
+    callers: 8,
+    body: method === 'POST' ? 'charge' : undefined,
+  });
+}
+
+async function ledgers(upstreams: readonly UpstreamProcess[]): Promise<LedgerEntry[]> {
+  return (await Promise.all(upstreams.map(({ ready }) => ledgerOf(ready.port)))).flat();
+}
+
+function outcomes(records: readonly CallRecord[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { outcome } of records) counts[outcome] = (counts[outcome] ?? 0) + 1;
+  return counts;
+}
+
+/** What callers were told who got no answer. */
+function refusals(records: readonly CallRecord[]): string[] {
+  return records
+    .filter(({ outcome }) => outcome !== 'answered')
+    .map(({ outcome, body }) => `${outcome}: ${body}`);
+}
+
+async function enough(load: CallerLoad, count: number): Promise<void> {
+  const target = load.records.length + count;
+  await eventually(`${count} calls`, () => load.records.length >= target);
+}
+
+test('daemons killed and restarted under charges: none runs twice, each label is true', () =>
+  withMesh(async ({ fleet, entry, daemons, upstreams }) => {
+    const load = loadOn(entry, 'POST');
+    await enough(load, 500);
+    for (const [index, daemon] of daemons.entries()) {
+      await Fleet.end(daemon, 'SIGKILL');
+      await enough(load, 300);
+      const zone = ZONES[index + 1]!;
+      await fleet.startDaemon({
+        name: `${zone}-${index + 1}`,
+        zone,
+        extra: QUICK,
+        addresses: daemon.ready.listening,
+      });
+      await serving(entry, upstreams.length);
+      await enough(load, 300);
+    }
+    const records = await load.stop();
+    assert.equal(brokenPromises(records, await ledgers(upstreams), false), []);
+    const counts = outcomes(records);
+    assert.ok((counts.unknown ?? 0) <= 3 * 8, JSON.stringify(counts));
+    assert.is(counts.answered! + (counts.unknown ?? 0) + (counts['not-run'] ?? 0), records.length);
+  }));
+
+test('a daemon frozen under charges: silent attempts are fenced or called unknown', () =>
+  withMesh(async ({ entry, daemons, upstreams }) => {
+    const load = loadOn(entry, 'POST');
+    await enough(load, 500);
+    daemons[0]!.child.kill('SIGSTOP');
+    await enough(load, 500);
+    daemons[0]!.child.kill('SIGCONT');
+    await enough(load, 500);
+    const records = await load.stop();
+    assert.equal(brokenPromises(records, await ledgers(upstreams), false), []);
+  }));
+
+test('a frozen upstream holds up only the calls that it has; lookups go elsewhere when it dies', () =>
+  withMesh(async ({ entry, upstreams }) => {
+    const load = loadOn(entry, 'GET');
+    await enough(load, 500);
+    upstreams[0]!.child.kill('SIGSTOP');
+    await enough(load, 500);
+    await Fleet.end(upstreams[0]!, 'SIGKILL');
+    await enough(load, 1_000);
+    const records = await load.stop();
+    assert.equal(refusals(records), []);
+    for (const { id, body } of records) assert.ok(body.startsWith(id));
+  }));
+
+test('rolling restart under load: lookups never fail, charges never run twice', () =>
+  withMesh(async ({ fleet, entry, daemons, upstreams }) => {
+    const lookups = loadOn(entry, 'GET');
+    const charges = loadOn(entry, 'POST');
+    for (const [index, daemon] of daemons.entries()) {
+      await enough(lookups, 200);
+      assert.is(await Fleet.end(daemon), 0);
+      const zone = ZONES[index + 1]!;
+      await fleet.startDaemon({
+        name: `${zone}-${index + 1}`,
+        zone,
+        extra: QUICK,
+        addresses: daemon.ready.listening,
+      });
+      await serving(entry, upstreams.length);
+    }
+    const looked = await lookups.stop();
+    const charged = await charges.stop();
+    const ledger = await ledgers(upstreams);
+    assert.equal(refusals(looked), []);
+    assert.equal(refusals(charged), []);
+    assert.equal(brokenPromises(looked, ledger, true), []);
+    assert.equal(brokenPromises(charged, ledger, false), []);
+  }));
+
+test('an upstream that leaves gets no new work and loses no call', () =>
+  withMesh(async ({ entry, upstreams }) => {
+    const load = loadOn(entry, 'POST', '?work=30');
+    await enough(load, 100);
+    // The one in the callers' own zone, which is chosen first.
+    const before = await ledgerOf(upstreams[0]!.ready.port);
+    assert.is(await Fleet.end(upstreams[0]!), 0);
+    await enough(load, 200);
+    const records = await load.stop();
+    assert.ok(before.length > 0);
+    assert.equal(refusals(records), []);
+  }));
+
+test('overload at ten times the slots: refusals are not run, answers are whole', () =>
+  withMesh(async ({ entry, upstreams }) => {
+    const load = new CallerLoad({
+      daemons: [entry.ready.listening.calls],
+      method: 'POST',
+      path: '/rentals?work=20',
+      callers: 3 * 18 * 10,
+      body: 'charge',
+    });
+    await enough(load, 4_000);
+    const records = await load.stop();
+    const counts = outcomes(records);
+    assert.equal(brokenPromises(records, await ledgers(upstreams), false), []);
+    assert.is(counts.answered! + counts['not-run']!, records.length, JSON.stringify(counts));
+  }));
+
+test('large answers come whole, and a broken one never looks whole', () =>
+  withMesh(async ({ entry }) => {
+    const { calls } = entry.ready.listening;
+    const bytes = 3_000_000;
+    const whole = await Promise.all(
+      Array.from({ length: 12 }, async (_, index) => {
+        const id = `plan-${index}`;
+        const answer = await fetch(`http://${calls}/rentals?bytes=${bytes}`, {
+          headers: { 'x-call-id': id },
+        });
+        return (await answer.text()) === UpstreamServer.body(id, bytes);
+      }),
+    );
+    assert.equal(
+      whole,
+      Array.from({ length: 12 }, () => true),
+    );
+    let broken = 0;
+    for (let index = 0; index < 20; index += 1) {
+      try {
+        const answer = await fetch(`http://${calls}/rentals?bytes=200000&break=1`, {
+          headers: { 'x-call-id': 'b' },
+        });
+        await answer.text();
+      } catch {
+        broken += 1;
+      }
+    }
+    assert.is(broken, 20);
+  }));
+
+test('a caller that leaves frees the slot of its call', () =>
+  withMesh(async ({ entry, daemons }) => {
+    const { calls } = entry.ready.listening;
+    const left = new AbortController();
+    const waiting = Array.from({ length: 30 }, () =>
+      fetch(`http://${calls}/rentals?work=60000`, { signal: left.signal }).catch(() => undefined),
+    );
+    const running = async () => {
+      const dumps = await Promise.all(
+        daemons.map(async ({ ready }) =>
+          (await fetch(`http://${ready.listening.control}/dump`)).json(),
+        ),
+      );
+      return (dumps as { upstream: { running: number; waiting: number } }[])
+        .map(({ upstream }) => upstream.running + upstream.waiting)
+        .reduce((sum, count) => sum + count, 0);
+    };
+    await eventually('the calls run', async () => (await running()) === 30);
+    left.abort();
+    await Promise.all(waiting);
+    await eventually('the slots are free', async () => (await running()) === 0);
+  }));
+
+test('a swap while an upstream leaves: routes follow services, calls are answered or not run', () =>
+  withMesh(async ({ fleet, entry, daemons, upstreams }) => {
+    const load = loadOn(entry, 'POST');
+    await enough(load, 200);
+    const folder = writeFolder(fleet, 'folder', folderOf(['rentals', 'records'], 'second'));
+    const [published] = await Promise.all([publish(fleet, folder), Fleet.end(upstreams[0]!)]);
+    assert.is(published.exitCode, 0, published.stderr);
+    await inForce(1, [entry, ...daemons]);
+    const absent = await fetch(`http://${entry.ready.listening.calls}/records`);
+    assert.snapshot(
+      `${absent.status} ${absent.headers.get('x-azurestream-outcome')} ${await absent.text()}`,
+      '503 not-run {"outcome":"not-run","reason":"route records is not in force: service records has no upstream that serves"}\n',
+    );
+    await fleet.startUpstream('records', daemons[0]!);
+    await eventually('the route is in force', async () => {
+      const answer = await fetch(`http://${entry.ready.listening.calls}/records`);
+      return answer.status === 200;
+    });
+    await allKnown([entry, ...daemons]);
+    await delay(100);
+    const records = await load.stop();
+    assert.equal(refusals(records), []);
+  }));
+
+test.run();
