Announce a version only to peers that may lack it

Cause: on a change every daemon woke all its connections, 8 of them, although most peers had the version already or had announced it themselves.

Ruled out: a spanning tree (its repair is a second mechanism; the rings stay as they are).

Change: each connection's outbox remembers the newest version its peer told of, and a wake for a version that is no news sends nothing.

--- a/src/connection/Gossip.ts
+++ b/src/connection/Gossip.ts
@@ -1,4 +1,4 @@
-import type { Clock, Disposable } from '../common/Types';
+import type { Clock, DaemonId, Disposable, VersionNumber } from '../common/Types';
 import Outbox from './Outbox';
 import type { Beat, HeadTracker, Membership, MemberRecord } from './Types';
 
@@ -20,17 +20,27 @@
   ) {
     this.subscriptions = [
       members.onChange((records) => this.spread(records)),
-      heads.onAdvance(() => this.wakeAll()),
+      heads.onAdvance(({ version }) => this.announce(version)),
     ];
   }
 
-  /** @returns The outbox of a new connection; dispose of it with {@link Gossip.close}. */
-  public open(): Outbox {
-    const outbox = new Outbox();
+  /**
+   * @param peer - Whom the connection leads to.
+   * @returns The outbox of a new connection; dispose of it with {@link Gossip.close}.
+   */
+  public open(peer: DaemonId): Outbox {
+    const outbox = new Outbox(peer);
     this.outboxes.add(outbox);
     return outbox;
   }
 
+  /** @param beat - What a peer has, over whichever connection it came. */
+  public noteBeat(beat: Beat): void {
+    for (const outbox of this.outboxes) {
+      if (outbox.peer === beat.from) outbox.noteVersion(beat.version);
+    }
+  }
+
   /** @param outbox - Of a connection that ended. */
   public close(outbox: Outbox): void {
     this.outboxes.delete(outbox);
@@ -68,7 +78,8 @@
     for (const outbox of this.outboxes) if (outbox !== this.source) outbox.put(records);
   }
 
-  private wakeAll(): void {
-    for (const outbox of this.outboxes) outbox.wake();
+  /** Peers that told of a version themselves needn't be told of it. */
+  private announce(version: VersionNumber | null): void {
+    for (const outbox of this.outboxes) if (outbox.isNews(version)) outbox.wake();
   }
 }
--- a/src/connection/Outbox.ts
+++ b/src/connection/Outbox.ts
@@ -1,5 +1,5 @@
 import sleep from '../common/sleep';
-import type { DaemonId } from '../common/Types';
+import type { DaemonId, VersionNumber } from '../common/Types';
 import type { MemberRecord } from './Types';
 
 const COALESCE_MS = 20;
@@ -8,16 +8,43 @@
 export default class Outbox {
   private readonly records = new Map<DaemonId, MemberRecord>();
 
+
   private notify: (() => void) | undefined;
 
   private signalled = false;
 
+  private peerVersion: VersionNumber | null = null;
+
+  /** @param peer - Whom the records are for. */
+  public constructor(public readonly peer: DaemonId) {}
+
+  /** @param version - Version that the peer is known to have. */
+  public noteVersion(version: VersionNumber | null): void {
+    if (version !== null && version > (this.peerVersion ?? -1)) this.peerVersion = version;
+  }
+
+  /**
+   * @param version - Version that this daemon has.
+   * @returns Whether that would be news to the peer.
+   */
+  public isNews(version: VersionNumber | null): boolean {
+    return version !== null && version > (this.peerVersion ?? -1);
+  }
+
   /** @param records - To be sent with the next message. */
   public put(records: readonly MemberRecord[]): void {
     for (const record of records) this.records.set(record.id, record);
     if (records.length > 0) this.wake();
   }
 
+  /**
+   * @param version - Version that this daemon has.
+   * @returns Whether there is something to tell the peer.
+   */
+  public hasNews(version: VersionNumber | null): boolean {
+    return this.records.size > 0 || this.isNews(version);
+  }
+
   /** Ends a wait even where no record is there. */
   public wake(): void {
     this.signalled = true;
@@ -37,14 +64,18 @@
    *
    * @param timeoutMs - Longest wait in milliseconds.
    * @param signal - Ends the wait.
+   * @returns Whether it was woken before the time was up.
    */
-  public async wait(timeoutMs: number, signal: AbortSignal): Promise<void> {
+  public async wait(timeoutMs: number, signal: AbortSignal): Promise<boolean> {
     if (!this.signalled) {
       const early = new AbortController();
       this.notify = () => early.abort();
       await sleep(timeoutMs, AbortSignal.any([signal, early.signal]));
       this.notify = undefined;
     }
-    if (this.signalled) await sleep(COALESCE_MS, signal);
+    const woken = this.signalled;
+    if (woken) await sleep(COALESCE_MS, signal);
+    this.signalled = false;
+    return woken;
   }
 }
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -32,6 +32,8 @@
 
   private mismatches = 0;
 
+  private forced = false;
+
   private readonly outbox: Outbox;
 
   /**
@@ -42,7 +44,7 @@
     public readonly peer: MemberRecord,
     private readonly services: LinkServices,
   ) {
-    this.outbox = services.gossip.open();
+    this.outbox = services.gossip.open(peer.id);
   }
 
   /** Whether the peer answered on this connection. */
@@ -52,6 +54,7 @@
 
   /** Sends a heartbeat at once. */
   public wake(): void {
+    this.forced = true;
     this.outbox.wake();
   }
 
@@ -72,8 +75,9 @@
       this.outbox.put([this.services.members.self]);
       const ended = AbortSignal.any([signal, connection.ended]);
       while (!ended.aborted) {
-        await this.outbox.wait(this.services.beatMs, ended);
-        if (!ended.aborted) await this.beat(connection);
+        const woken = await this.outbox.wait(this.services.beatMs, ended);
+        const due = !woken || this.forced || this.outbox.hasNews(this.services.heads.knowledge.version);
+        if (!ended.aborted && due) await this.beat(connection);
       }
       if (!signal.aborted) throw new PeerError(this.peer.id, 'the connection was closed');
     } catch (error) {
@@ -94,6 +98,7 @@
 
   private async beat(connection: PeerConnection): Promise<void> {
     const { gossip, members } = this.services;
+    this.forced = false;
     const update: Update = { records: this.outbox.drain(), beat: gossip.beat() };
     const reply = await connection.client.beat.mutate(
       update,
@@ -107,7 +112,8 @@
 
   /** Fetches what the peer has and this daemon lacks. */
   private async follow({ client, ended }: PeerConnection, beat: Beat): Promise<void> {
-    const { heads, fetchSlot } = this.services;
+    const { heads, fetchSlot, gossip } = this.services;
+    gossip.noteBeat(beat);
     if (heads.isBehind(beat) && fetchSlot.take()) {
       const { version } = heads.knowledge;
       const message = await client.changes.query({ base: version }, PeerLink.answerOptions(ended));
@@ -140,7 +146,7 @@
   }
 
   private subscribe(connection: PeerConnection): Disposable {
-    const subscription = connection.client.updates.subscribe(undefined, {
+    const subscription = connection.client.updates.subscribe(this.services.members.self.id, {
       onData: (update) => void this.receive(connection, update),
       onError: () => connection.dispose(),
     });
--- a/src/connection/peerRouter.ts
+++ b/src/connection/peerRouter.ts
@@ -10,6 +10,7 @@
 import type FetchSlot from './FetchSlot';
 import type Gossip from './Gossip';
 import {
+  daemonIdSchema,
   deltaMessageSchema,
   fenceSchema,
   probeSchema,
@@ -68,7 +69,10 @@
     /** Heartbeat with what changed since the last one. */
     beat: trpc.procedure.input(updateSchema).mutation(({ input }): BeatReply => {
       gossip.receive(input.records);
-      if (input.beat) heads.observe(input.beat);
+      if (input.beat) {
+        gossip.noteBeat(input.beat);
+        heads.observe(input.beat);
+      }
       return { beat: gossip.beat(), wanted: wantedFrom(input) };
     }),
 
@@ -79,19 +83,19 @@
     }),
 
     /** Streams what changes here to the peer that opened the connection. */
-    updates: trpc.procedure.subscription(async function* updates({
+    updates: trpc.procedure.input(daemonIdSchema).subscription(async function* updates({
+      input,
       signal,
     }): AsyncGenerator<Update> {
-      const outbox = gossip.open();
+      const outbox = gossip.open(input);
       const ended = signal ?? new AbortController().signal;
-      let sentVersion = heads.knowledge.version;
       try {
         while (!ended.aborted) {
           await outbox.wait(IDLE_WAIT_MS, ended);
           const records = outbox.drain();
           const { version } = heads.knowledge;
-          const beat = version === sentVersion ? null : gossip.beat();
-          sentVersion = version;
+          const beat = outbox.isNews(version) ? gossip.beat() : null;
+          outbox.noteVersion(version);
           if (records.length > 0 || beat) yield { records, beat };
         }
       } finally {
