Frame peers' messages as MessagePack

Cause: after the announcements, JSON framing was the largest term: field names and numbers as text in every heartbeat, and HTTP-like envelopes around them.

Ruled out: shorter field names (they would have to be read by people in the code), and compression of frames (processor time on every small frame).

Change: the WebSocket link's encoder is @msgpack/msgpack on both sides.

--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -1,6 +1,7 @@
 import { createTRPCClient, createWSClient, wsLink, type TRPCClient } from '@trpc/client';
 import type { WebSocket } from 'ws';
 import type { Address, Disposable } from '../common/Types';
+import messageEncoder from './messageEncoder';
 import meteredSocket from './meteredSocket';
 import PEER_PATH from './peerPath';
 import type { PeerRouter } from './peerRouter';
@@ -32,6 +33,7 @@
       url: `ws://${address}${PEER_PATH}`,
       WebSocket: meteredSocket(meter, (socket) => sockets.push(socket)),
       retryDelayMs: () => NEVER_MS,
+      experimental_encoder: messageEncoder,
       onClose: () => this.end.abort(),
     });
     this.closeClient = () => void wsClient.close().catch(() => undefined);
--- a/src/process/servePeers.ts
+++ b/src/process/servePeers.ts
@@ -2,6 +2,7 @@
 import { applyWSSHandler } from '@trpc/server/adapters/ws';
 import { WebSocketServer } from 'ws';
 import type { Disposable } from '../common/Types';
+import messageEncoder from '../connection/messageEncoder';
 import PEER_PATH from '../connection/peerPath';
 import type { PeerRouter } from '../connection/peerRouter';
 import type SocketMeter from '../connection/SocketMeter';
@@ -41,7 +42,7 @@
     maxPayload: MAX_MESSAGE_BYTES,
   });
   sockets.on('connection', (_socket, request) => meter.track(request.socket));
-  applyWSSHandler({ wss: sockets, router });
+  applyWSSHandler({ wss: sockets, router, experimental_encoder: messageEncoder });
   return {
     dispose: () => {
       for (const socket of sockets.clients) socket.terminate();
