Don't tell a peer what it has just told

Cause: a member's change went out on all eight connections of a daemon although several peers had sent it the same change while it waited to be sent.

Ruled out: a longer wait before sending (convergence would pay for it).

Change: what a peer sends is taken out of what waits for that peer, by its id and whichever of the two opened the connection.

--- a/src/connection/Gossip.ts
+++ b/src/connection/Gossip.ts
@@ -3,16 +3,14 @@
 import type { Beat, HeadTracker, Membership, MemberRecord } from './Types';
 
 /**
- * Spreads member records over every open connection, whoever opened it, except back to the one
- * that they came from.
+ * Spreads member records over every open connection, whoever opened it, except to peers that know
+ * them already.
  */
 export default class Gossip implements Disposable {
   private readonly outboxes = new Set<Outbox>();
 
   private readonly subscriptions: readonly Disposable[];
 
-  private source: Outbox | undefined;
-
   public constructor(
     private readonly members: Membership,
     private readonly heads: HeadTracker,
@@ -47,18 +45,14 @@
   }
 
   /**
-   * Takes in what came over a connection.
+   * Takes in what a peer knows. It isn't told the same in turn, also where it still waits to be.
    *
    * @param records - Member records.
-   * @param source - Outbox of that connection, if it has one.
+   * @param source - The peer.
    */
-  public receive(records: readonly MemberRecord[], source?: Outbox): void {
-    this.source = source;
-    try {
-      this.members.merge(records);
-    } finally {
-      this.source = undefined;
-    }
+  public receive(records: readonly MemberRecord[], source: DaemonId): void {
+    this.members.merge(records);
+    for (const outbox of this.outboxes) if (outbox.peer === source) outbox.discard(records);
   }
 
   /** @returns What this daemon knows, for a heartbeat. */
@@ -75,7 +69,7 @@
   }
 
   private spread(records: readonly MemberRecord[]): void {
-    for (const outbox of this.outboxes) if (outbox !== this.source) outbox.put(records);
+    for (const outbox of this.outboxes) outbox.put(records);
   }
 
   /** Peers that told of a version themselves needn't be told of it. */
--- a/src/connection/Outbox.ts
+++ b/src/connection/Outbox.ts
@@ -1,5 +1,6 @@
 import sleep from '../common/sleep';
 import type { DaemonId, VersionNumber } from '../common/Types';
+import isSameRecord from './isSameRecord';
 import type { MemberRecord } from './Types';
 
 const COALESCE_MS = 20;
@@ -45,6 +46,14 @@
     return this.records.size > 0 || this.isNews(version);
   }
 
+  /** @param records - What the peer told of itself and others; newer records of ours stay. */
+  public discard(records: readonly MemberRecord[]): void {
+    for (const record of records) {
+      const waiting = this.records.get(record.id);
+      if (waiting && isSameRecord(waiting, record)) this.records.delete(record.id);
+    }
+  }
+
   /** Ends a wait even where no record is there. */
   public wake(): void {
     this.signalled = true;
--- a/src/connection/Overlay.ts
+++ b/src/connection/Overlay.ts
@@ -100,9 +100,9 @@
     const records = known ? [members.self, known] : [members.self];
     try {
       await this.asker.ask(member.address, async (client, signal) => {
-        await client.beat.mutate({ records, beat: null }, { signal });
+        await client.beat.mutate({ records, beat: gossip.beat() }, { signal });
         const reply = await client.sync.mutate({ buckets: members.buckets() }, { signal });
-        gossip.receive(reply.records);
+        gossip.receive(reply.records, member.id);
       });
       return true;
     } catch {
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -1,11 +1,12 @@
 import type { Disposable, Logger } from '../common/Types';
 import type FetchSlot from './FetchSlot';
 import type Gossip from './Gossip';
+import isSameRecord from './isSameRecord';
 import type Outbox from './Outbox';
 import PeerConnection from './PeerConnection';
 import PeerError from './PeerError';
 import type SocketMeter from './SocketMeter';
-import type { Beat, HeadTracker, MemberRecord, Membership, Update } from './Types';
+import type { Beat, BeatRequest, HeadTracker, MemberRecord, Membership, Update } from './Types';
 
 const ANSWER_TIMEOUT_MS = 2_000;
 const BEATS_BEFORE_SYNC = 2;
@@ -22,10 +23,6 @@
   readonly beatMs: number;
 }
 
-function sameRecord(a: MemberRecord, b: MemberRecord | undefined): boolean {
-  return a.incarnation === b?.incarnation && a.sequence === b.sequence && a.health === b.health;
-}
-
 /** The connection that this daemon opened to one peer, and the task that keeps it in use. */
 export default class PeerLink {
   private up = false;
@@ -99,7 +96,7 @@
   private async beat(connection: PeerConnection): Promise<void> {
     const { gossip, members } = this.services;
     this.forced = false;
-    const update: Update = { records: this.outbox.drain(), beat: gossip.beat() };
+    const update: BeatRequest = { records: this.outbox.drain(), beat: gossip.beat() };
     const reply = await connection.client.beat.mutate(
       update,
       PeerLink.answerOptions(connection.ended),
@@ -136,11 +133,11 @@
     const { members, gossip } = this.services;
     const request = { buckets: members.buckets() };
     const { differing, records } = await client.sync.mutate(request, PeerLink.answerOptions(ended));
-    gossip.receive(records, this.outbox);
+    gossip.receive(records, this.peer.id);
     const theirs = new Map(records.map((record) => [record.id, record]));
     const news = members
       .bucketRecords(differing)
-      .filter((own) => !sameRecord(own, theirs.get(own.id)));
+      .filter((own) => !isSameRecord(own, theirs.get(own.id)));
     this.outbox.put(news);
     this.mismatches = 0;
   }
@@ -154,7 +151,7 @@
   }
 
   private async receive(connection: PeerConnection, { records, beat }: Update): Promise<void> {
-    this.services.gossip.receive(records, this.outbox);
+    this.services.gossip.receive(records, this.peer.id);
     if (!beat) return;
     try {
       await this.follow(connection, beat);
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -100,6 +100,12 @@
   readonly members: string;
 }
 
+/** A heartbeat, and what changed since the last one. */
+export interface BeatRequest {
+  readonly records: readonly MemberRecord[];
+  readonly beat: Beat;
+}
+
 /** Answer to a heartbeat. */
 export interface BeatReply {
   readonly beat: Beat;
--- a/src/connection/messageSchema.ts
+++ b/src/connection/messageSchema.ts
@@ -15,7 +15,7 @@
   ZoneName,
 } from '../common/Types';
 import { deltaSchema } from '../version/recordSchema';
-import type { Beat, DeltaMessage, MemberRecord, SyncRequest, Update } from './Types';
+import type { Beat, BeatRequest, DeltaMessage, MemberRecord, SyncRequest } from './Types';
 
 const MAX_RECORDS = 20_000;
 const MAX_BUCKETS = 256;
@@ -57,10 +57,10 @@
   members: z.string(),
 });
 
-/** An {@link Update}. */
-export const updateSchema: z.ZodType<Update> = z.object({
+/** A {@link BeatRequest}. */
+export const beatRequestSchema: z.ZodType<BeatRequest> = z.object({
   records: z.array(memberSchema).max(MAX_RECORDS),
-  beat: beatSchema.nullable(),
+  beat: beatSchema,
 });
 
 /** A {@link SyncRequest}. */
--- a/src/connection/peerRouter.ts
+++ b/src/connection/peerRouter.ts
@@ -15,11 +15,12 @@
   fenceSchema,
   probeSchema,
   syncSchema,
-  updateSchema,
+  beatRequestSchema,
   wantedSchema,
 } from './messageSchema';
 import type {
   BeatReply,
+  BeatRequest,
   DeltaMessage,
   HeadTracker,
   Membership,
@@ -60,19 +61,17 @@
 export function createPeerRouter(services: PeerServices) {
   const { members, heads, gossip, fetchSlot } = services;
 
-  function wantedFrom(update: Update): WantedChanges | null {
-    if (!update.beat || !heads.isBehind(update.beat) || !fetchSlot.take()) return null;
+  function wantedFrom(update: BeatRequest): WantedChanges | null {
+    if (!heads.isBehind(update.beat) || !fetchSlot.take()) return null;
     return { base: heads.knowledge.version };
   }
 
   return trpc.router({
     /** Heartbeat with what changed since the last one. */
-    beat: trpc.procedure.input(updateSchema).mutation(({ input }): BeatReply => {
-      gossip.receive(input.records);
-      if (input.beat) {
-        gossip.noteBeat(input.beat);
-        heads.observe(input.beat);
-      }
+    beat: trpc.procedure.input(beatRequestSchema).mutation(({ input }): BeatReply => {
+      gossip.receive(input.records, input.beat.from);
+      gossip.noteBeat(input.beat);
+      heads.observe(input.beat);
       return { beat: gossip.beat(), wanted: wantedFrom(input) };
     }),
 
