Choose among all of a small pool, weigh failures, name every bad input

Change: failures weigh in the cost, aside only after four in a row; a pool of up to four is looked at whole, larger ones by two random choices. The log is polled for 2 s at a time, so that knowledge stays younger than the age past which a daemon reads the log itself.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tsdoc from 'eslint-plugin-tsdoc';
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'bench/results/**'] },
+  { ignores: ['dist/**', 'dist-mutant/**', 'node_modules/**', 'bench/results/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -12,7 +12,7 @@
   {
     files: ['scripts/**'],
     languageOptions: { globals: { process: 'readonly' } },
-    rules: { 'import-x/no-extraneous-dependencies': 'off' },
+    rules: { 'import-x/no-extraneous-dependencies': 'off', 'import-x/extensions': 'off' },
   },
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,50 @@
+import { build } from 'esbuild';
+import { readFileSync } from 'node:fs';
+
+const { version } = JSON.parse(readFileSync('package.json', 'utf8'));
+
+/** Replaces one piece of one source file while it is bundled. */
+function mutation({ file, from, to }) {
+  return {
+    name: 'mutation',
+    setup(bundler) {
+      const filter = new RegExp(`${file.replace(/[./]/g, '\\$&')}$`);
+      bundler.onLoad({ filter }, ({ path }) => {
+        const source = readFileSync(path, 'utf8');
+        if (!source.includes(from)) throw new Error(`${file} no longer has: ${from}`);
+        return { contents: source.replace(from, to), loader: 'ts' };
+      });
+    },
+  };
+}
+
+/**
+ * Bundles the daemon and the stand-ins, one CommonJS file each.
+ *
+ * @param outdir - Where to.
+ * @param mutant - A piece to replace, for scripts/mutants.mjs.
+ */
+export default async function bundle(outdir, mutant) {
+  await build({
+    entryPoints: {
+      azurestream: 'src/command/main.ts',
+      'stand-in-log': 'stand-in/logMain.ts',
+      'stand-in-upstream': 'stand-in/upstreamMain.ts',
+    },
+    outdir,
+    outExtension: { '.js': '.cjs' },
+    bundle: true,
+    platform: 'node',
+    format: 'cjs',
+    target: 'node20',
+    logLevel: 'warning',
+    define: {
+      'import.meta.url': 'importMetaUrl',
+      AZURESTREAM_VERSION: JSON.stringify(version),
+    },
+    banner: {
+      js: "const importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;",
+    },
+    plugins: mutant ? [mutation(mutant)] : [],
+  });
+}
--- a/src/command/publish.ts
+++ b/src/command/publish.ts
@@ -22,7 +22,8 @@
 function describeRefusal(refusal: Refusal, folder: Folder, head: Head | undefined): string {
   if (refusal.kind === 'invalid') return refusal.faults.map(formatFault).join('\n');
   if (refusal.kind === 'digest') return 'its digest differs from what its changes give';
-  const files = folderChanges(head?.folder ?? [], folder).map(({ name }) => name);
+  if (!head) return 'nothing was ever published; expected the base "none"';
+  const files = folderChanges(head.folder, folder).map(({ name }) => name);
   return (
     `someone else published version ${versionText(head)} first; ` +
     `these files differ from it: ${files.join(', ') || 'none'}. Pull into another folder, merge, publish again`
--- a/src/connection/LogTail.ts
+++ b/src/connection/LogTail.ts
@@ -10,7 +10,7 @@
 import LogUnavailableError from './LogUnavailableError';
 import ZoneRank from './ZoneRank';
 
-const LONG_POLL_MS = 5_000;
+const LONG_POLL_MS = 2_000;
 const IDLE_CHECK_MS = 500;
 const BACKOFF: Backoff = { baseMs: 200, capMs: 5_000 };
 
--- a/src/connection/Outbox.ts
+++ b/src/connection/Outbox.ts
@@ -9,7 +9,6 @@
 export default class Outbox {
   private readonly records = new Map<DaemonId, MemberRecord>();
 
-
   private notify: (() => void) | undefined;
 
   private signalled = false;
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -73,7 +73,8 @@
       const ended = AbortSignal.any([signal, connection.ended]);
       while (!ended.aborted) {
         const woken = await this.outbox.wait(this.services.beatMs, ended);
-        const due = !woken || this.forced || this.outbox.hasNews(this.services.heads.knowledge.version);
+        const due =
+          !woken || this.forced || this.outbox.hasNews(this.services.heads.knowledge.version);
         if (!ended.aborted && due) await this.beat(connection);
       }
       if (!signal.aborted) throw new PeerError(this.peer.id, 'the connection was closed');
--- a/src/connection/messageEncoder.ts
+++ b/src/connection/messageEncoder.ts
@@ -6,8 +6,7 @@
    * @param data - A message.
    * @returns Its frame.
    */
-  encode: (data: unknown): Uint8Array<ArrayBuffer> =>
-    encode(data, { ignoreUndefined: true }) as Uint8Array<ArrayBuffer>,
+  encode: (data: unknown): Uint8Array<ArrayBuffer> => encode(data, { ignoreUndefined: true }),
   /**
    * @param data - A frame.
    * @returns The message.
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -48,7 +48,7 @@
     stream_prefix: z.string().default(''),
     retention: duration('24h'),
     readers_per_zone: count(1, 100, 2),
-    stale: duration('10s'),
+    stale: duration('15s'),
   }),
   peers: z
     .strictObject({
--- a/src/request/Standing.ts
+++ b/src/request/Standing.ts
@@ -1,5 +1,6 @@
 const LATENCY_WEIGHT = 0.2;
-const FAILURES_BEFORE_ASIDE = 2;
+const FAILURES_BEFORE_ASIDE = 4;
+const FAILURE_WEIGHT = 0.05;
 const ASIDE_BASE_MS = 1_000;
 const ASIDE_CAP_MS = 20_000;
 const MAX_DOUBLINGS = 10;
@@ -24,6 +25,9 @@
 
   public lastSuccess = 0;
 
+  /** Share of the latest attempts that failed, 0 to 1. */
+  public failureShare = 0;
+
   private failures = 0;
 
   /**
@@ -33,6 +37,7 @@
   public succeed(latencyMs: number, now: number): void {
     this.latencyMs += LATENCY_WEIGHT * (latencyMs - this.latencyMs);
     this.failures = 0;
+    this.failureShare -= FAILURE_WEIGHT * this.failureShare;
     this.asideUntil = 0;
     this.lastSuccess = now;
   }
@@ -40,6 +45,7 @@
   /** @param now - When an attempt failed; repeated failures set the upstream aside for longer. */
   public fail(now: number): void {
     this.failures += 1;
+    this.failureShare += FAILURE_WEIGHT * (1 - this.failureShare);
     const beyond = this.failures - FAILURES_BEFORE_ASIDE;
     if (beyond < 0) return;
     const asideMs = ASIDE_BASE_MS * 2 ** Math.min(beyond, MAX_DOUBLINGS);
--- a/src/request/TwoChoiceBalancer.ts
+++ b/src/request/TwoChoiceBalancer.ts
@@ -7,7 +7,10 @@
 const ZONE_SPILL_LOAD = 0.8;
 const LOAD_FRESH_MS = 1_000;
 const BAD_HINT_FACTOR = 4;
+const SMALL_POOL = 4;
 const COLD_SHARE = 0.25;
+const FAILURE_AVERSION = 3;
+const MAX_FAILURE_SHARE = 0.9;
 const FORGET_AFTER_MS = 600_000;
 
 /** How much less a cold upstream is chosen. */
@@ -42,12 +45,8 @@
       ({ daemon }) => !exclude.has(daemon) && !this.isFull(daemon, service),
     );
     const pool = this.nearest(this.fit(untried, now), service, now);
-    if (pool.length < 2) return pool[0];
-    const first = this.random.below(pool.length);
-    const second = (first + 1 + this.random.below(pool.length - 1)) % pool.length;
-    const a = pool[first]!;
-    const b = pool[second]!;
-    return this.cost(a, service, now) <= this.cost(b, service, now) ? a : b;
+    const sample = pool.length <= SMALL_POOL ? pool : this.pair(pool);
+    return this.cheapest(sample, service, now);
   }
 
   public begin({ daemon }: Upstream): void {
@@ -88,6 +87,32 @@
     this.latencies.set(service, known + SERVICE_LATENCY_WEIGHT * (latencyMs - known));
   }
 
+  private pair(pool: readonly Upstream[]): readonly Upstream[] {
+    const first = this.random.below(pool.length);
+    const second = (first + 1 + this.random.below(pool.length - 1)) % pool.length;
+    return [pool[first]!, pool[second]!];
+  }
+
+  /** The first of equals is a random one, so that daemons that know nothing don't all agree. */
+  private cheapest(
+    sample: readonly Upstream[],
+    service: Service,
+    now: number,
+  ): Upstream | undefined {
+    let best: Upstream | undefined;
+    let bestCost = Infinity;
+    const start = sample.length > 1 ? this.random.below(sample.length) : 0;
+    for (let index = 0; index < sample.length; index += 1) {
+      const candidate = sample[(start + index) % sample.length]!;
+      const cost = this.cost(candidate, service, now);
+      if (cost < bestCost) {
+        best = candidate;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
   /** Leaves out those set aside and those lost from sight, but never all. */
   private fit(upstreams: readonly Upstream[], now: number): readonly Upstream[] {
     const usable = upstreams.filter(
@@ -131,7 +156,9 @@
     const cold = coldFactor(upstream, service, now);
     // A bad hint counts only as long as no call of this daemon showed otherwise.
     const hinted = upstream.healthHint || (standing?.lastSuccess ?? 0) > now - LOAD_FRESH_MS;
-    return (inFlight + 1) * latency * (1 + load) * cold * (hinted ? 1 : BAD_HINT_FACTOR);
+    const failing =
+      (1 - Math.min(standing?.failureShare ?? 0, MAX_FAILURE_SHARE)) ** -FAILURE_AVERSION;
+    return (inFlight + 1) * latency * (1 + load) * cold * failing * (hinted ? 1 : BAD_HINT_FACTOR);
   }
 
   private standing(daemon: DaemonId): Standing {
--- a/stand-in/Fleet.ts
+++ b/stand-in/Fleet.ts
@@ -8,6 +8,8 @@
 import type { DaemonStatus } from '../src/process/Types';
 import type { LogFaults } from './LogServer';
 
+/** Where the programs were built; scripts/mutants.mjs builds variants elsewhere. */
+const PROGRAMS = process.env.AZURESTREAM_DIST ?? 'dist';
 const READY_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
 
@@ -168,7 +170,7 @@
   }
 
   private spawn(program: string, args: readonly string[]): ChildProcess {
-    const child = spawn(process.execPath, [`dist/${program}.cjs`, ...args], {
+    const child = spawn(process.execPath, [`${PROGRAMS}/${program}.cjs`, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.children.add(child);
--- a/test/callFaults.test.ts
+++ b/test/callFaults.test.ts
@@ -12,6 +12,7 @@
   ledgerOf,
   publish,
   QUICK,
+  scenario,
   startDaemons,
   writeFolder,
   type DaemonProcess,
@@ -39,7 +40,7 @@
   });
 }
 
-async function withMesh(scenario: (mesh: Mesh) => Promise<void>): Promise<void> {
+async function withMesh(play: (mesh: Mesh) => Promise<void>): Promise<void> {
   const fleet = new Fleet();
   try {
     await fleet.startLog();
@@ -50,7 +51,7 @@
       daemons.map((daemon) => fleet.startUpstream('rentals', daemon, WORK_MS)),
     );
     await serving(entry!, upstreams.length);
-    await scenario({ fleet, entry: entry!, daemons, upstreams });
+    await play({ fleet, entry: entry!, daemons, upstreams });
   } finally {
     await fleet.dispose();
   }
@@ -88,7 +89,7 @@
   await eventually(`${count} calls`, () => load.records.length >= target);
 }
 
-test('daemons killed and restarted under charges: none runs twice, each label is true', () =>
+scenario('daemons killed and restarted under charges: none runs twice, each label is true', () =>
   withMesh(async ({ fleet, entry, daemons, upstreams }) => {
     const load = loadOn(entry, 'POST');
     await enough(load, 500);
@@ -110,9 +111,10 @@
     const counts = outcomes(records);
     assert.ok((counts.unknown ?? 0) <= 3 * 8, JSON.stringify(counts));
     assert.is(counts.answered! + (counts.unknown ?? 0) + (counts['not-run'] ?? 0), records.length);
-  }));
+  }),
+);
 
-test('a daemon frozen under charges: silent attempts are fenced or called unknown', () =>
+scenario('a daemon frozen under charges: silent attempts are fenced or called unknown', () =>
   withMesh(async ({ entry, daemons, upstreams }) => {
     const load = loadOn(entry, 'POST');
     await enough(load, 500);
@@ -122,22 +124,26 @@
     await enough(load, 500);
     const records = await load.stop();
     assert.equal(brokenPromises(records, await ledgers(upstreams), false), []);
-  }));
+  }),
+);
 
-test('a frozen upstream holds up only the calls that it has; lookups go elsewhere when it dies', () =>
-  withMesh(async ({ entry, upstreams }) => {
-    const load = loadOn(entry, 'GET');
-    await enough(load, 500);
-    upstreams[0]!.child.kill('SIGSTOP');
-    await enough(load, 500);
-    await Fleet.end(upstreams[0]!, 'SIGKILL');
-    await enough(load, 1_000);
-    const records = await load.stop();
-    assert.equal(refusals(records), []);
-    for (const { id, body } of records) assert.ok(body.startsWith(id));
-  }));
+scenario(
+  'a frozen upstream holds up only the calls that it has; lookups go elsewhere when it dies',
+  () =>
+    withMesh(async ({ entry, upstreams }) => {
+      const load = loadOn(entry, 'GET');
+      await enough(load, 500);
+      upstreams[0]!.child.kill('SIGSTOP');
+      await enough(load, 500);
+      await Fleet.end(upstreams[0]!, 'SIGKILL');
+      await enough(load, 1_000);
+      const records = await load.stop();
+      assert.equal(refusals(records), []);
+      for (const { id, body } of records) assert.ok(body.startsWith(id));
+    }),
+);
 
-test('rolling restart under load: lookups never fail, charges never run twice', () =>
+scenario('rolling restart under load: lookups never fail, charges never run twice', () =>
   withMesh(async ({ fleet, entry, daemons, upstreams }) => {
     const lookups = loadOn(entry, 'GET');
     const charges = loadOn(entry, 'POST');
@@ -160,9 +166,10 @@
     assert.equal(refusals(charged), []);
     assert.equal(brokenPromises(looked, ledger, true), []);
     assert.equal(brokenPromises(charged, ledger, false), []);
-  }));
+  }),
+);
 
-test('an upstream that leaves gets no new work and loses no call', () =>
+scenario('an upstream that leaves gets no new work and loses no call', () =>
   withMesh(async ({ entry, upstreams }) => {
     const load = loadOn(entry, 'POST', '?work=30');
     await enough(load, 100);
@@ -173,9 +180,10 @@
     const records = await load.stop();
     assert.ok(before.length > 0);
     assert.equal(refusals(records), []);
-  }));
+  }),
+);
 
-test('overload at ten times the slots: refusals are not run, answers are whole', () =>
+scenario('overload at ten times the slots: refusals are not run, answers are whole', () =>
   withMesh(async ({ entry, upstreams }) => {
     const load = new CallerLoad({
       daemons: [entry.ready.listening.calls],
@@ -189,9 +197,10 @@
     const counts = outcomes(records);
     assert.equal(brokenPromises(records, await ledgers(upstreams), false), []);
     assert.is(counts.answered! + counts['not-run']!, records.length, JSON.stringify(counts));
-  }));
+  }),
+);
 
-test('large answers come whole, and a broken one never looks whole', () =>
+scenario('large answers come whole, and a broken one never looks whole', () =>
   withMesh(async ({ entry }) => {
     const { calls } = entry.ready.listening;
     const bytes = 3_000_000;
@@ -220,9 +229,10 @@
       }
     }
     assert.is(broken, 20);
-  }));
+  }),
+);
 
-test('a caller that leaves frees the slot of its call', () =>
+scenario('a caller that leaves frees the slot of its call', () =>
   withMesh(async ({ entry, daemons }) => {
     const { calls } = entry.ready.listening;
     const left = new AbortController();
@@ -243,30 +253,34 @@
     left.abort();
     await Promise.all(waiting);
     await eventually('the slots are free', async () => (await running()) === 0);
-  }));
+  }),
+);
 
-test('a swap while an upstream leaves: routes follow services, calls are answered or not run', () =>
-  withMesh(async ({ fleet, entry, daemons, upstreams }) => {
-    const load = loadOn(entry, 'POST');
-    await enough(load, 200);
-    const folder = writeFolder(fleet, 'folder', folderOf(['rentals', 'records'], 'second'));
-    const [published] = await Promise.all([publish(fleet, folder), Fleet.end(upstreams[0]!)]);
-    assert.is(published.exitCode, 0, published.stderr);
-    await inForce(1, [entry, ...daemons]);
-    const absent = await fetch(`http://${entry.ready.listening.calls}/records`);
-    assert.snapshot(
-      `${absent.status} ${absent.headers.get('x-azurestream-outcome')} ${await absent.text()}`,
-      '503 not-run {"outcome":"not-run","reason":"route records is not in force: service records has no upstream that serves"}\n',
-    );
-    await fleet.startUpstream('records', daemons[0]!);
-    await eventually('the route is in force', async () => {
-      const answer = await fetch(`http://${entry.ready.listening.calls}/records`);
-      return answer.status === 200;
-    });
-    await allKnown([entry, ...daemons]);
-    await delay(100);
-    const records = await load.stop();
-    assert.equal(refusals(records), []);
-  }));
+scenario(
+  'a swap while an upstream leaves: routes follow services, calls are answered or not run',
+  () =>
+    withMesh(async ({ fleet, entry, daemons, upstreams }) => {
+      const load = loadOn(entry, 'POST');
+      await enough(load, 200);
+      const folder = writeFolder(fleet, 'folder', folderOf(['rentals', 'records'], 'second'));
+      const [published] = await Promise.all([publish(fleet, folder), Fleet.end(upstreams[0]!)]);
+      assert.is(published.exitCode, 0, published.stderr);
+      await inForce(1, [entry, ...daemons]);
+      const absent = await fetch(`http://${entry.ready.listening.calls}/records`);
+      assert.snapshot(
+        `${absent.status} ${absent.headers.get('x-azurestream-outcome')} ${await absent.text()}`,
+        '503 not-run {"outcome":"not-run","reason":"route records is not in force: service records has no upstream that serves"}\n',
+      );
+      await fleet.startUpstream('records', daemons[0]!);
+      await eventually('the route is in force', async () => {
+        const answer = await fetch(`http://${entry.ready.listening.calls}/records`);
+        return answer.status === 200;
+      });
+      await allKnown([entry, ...daemons]);
+      await delay(100);
+      const records = await load.stop();
+      assert.equal(refusals(records), []);
+    }),
+);
 
 test.run();
--- a/test/configurationFaults.test.ts
+++ b/test/configurationFaults.test.ts
@@ -10,6 +10,7 @@
   inForce,
   publish,
   QUICK,
+  scenario,
   startDaemons,
   versionOf,
   VersionWatch,
@@ -42,7 +43,7 @@
 }
 
 /** Runs a scenario on a mesh with one published version, and checks that nothing stepped back. */
-async function withMesh(scenario: (mesh: Mesh) => Promise<void>): Promise<void> {
+async function withMesh(play: (mesh: Mesh) => Promise<void>): Promise<void> {
   const fleet = new Fleet();
   let watch: VersionWatch | undefined;
   try {
@@ -51,7 +52,7 @@
     await edit(fleet, 'folder', 'first');
     await inForce(0, mesh.daemons);
     watch = new VersionWatch(() => mesh.daemons);
-    await scenario(mesh);
+    await play(mesh);
     assert.equal(await watch.stop(), []);
   } finally {
     await watch?.stop();
@@ -69,7 +70,7 @@
   return new Set(all).size;
 }
 
-test('of operators who race exactly one wins, and the others are told which files differ', () =>
+scenario('of operators who race exactly one wins, and the others are told which files differ', () =>
   withMesh(async ({ fleet, daemons }) => {
     const paths = ['a', 'b', 'c', 'd'].map((name) => {
       const path = writeFolder(fleet, name, folderOf(['stock'], 'first'));
@@ -87,45 +88,49 @@
     }
     await inForce(1, daemons);
     await eventually('one digest everywhere', async () => (await digests(daemons)) === 1);
-  }));
+  }),
+);
 
-test('a lost answer, an append that lands late and a bad folder past the checker change nothing twice', () =>
-  withMesh(async ({ fleet, daemons }) => {
-    await fleet.setLogFaults({ loseAnswers: 1 });
-    const lost = await edit(fleet, 'folder', 'second');
-    assert.is(lost.exitCode, 0);
-    assert.is(lost.value.version, 1);
-
-    await fleet.setLogFaults({ lateAppends: 1, lateMs: 4_500 });
-    const late = await edit(fleet, 'folder', 'third');
-    assert.is(late.exitCode, 0);
-    const next = await edit(fleet, 'folder', 'fourth');
-    assert.is(next.exitCode, 0);
-    assert.ok(next.value.version! > late.value.version!);
-    await delay(2_500);
-
-    const bad = {
-      kind: 'publication',
-      schema: 1,
-      id: 'bad',
-      base: next.value.version,
-      changes: [{ name: '99.toml', content: '[route.x]\nservice = "nowhere"\npath = "/x"\n' }],
-      digest: '0'.repeat(64),
-    };
-    for (const record of [
-      JSON.stringify(bad),
-      'no record at all',
-      '{"kind":"publication","schema":1}',
-    ]) {
-      await fetch(`http://${fleet.log}/streams/configuration`, { method: 'POST', body: record });
-    }
-    const last = await edit(fleet, 'folder', 'fifth');
-    assert.is(last.exitCode, 0);
-    await inForce(last.value.version!, daemons);
-    assert.is(await digests(daemons), 1);
-  }));
+scenario(
+  'a lost answer, an append that lands late and a bad folder past the checker change nothing twice',
+  () =>
+    withMesh(async ({ fleet, daemons }) => {
+      await fleet.setLogFaults({ loseAnswers: 1 });
+      const lost = await edit(fleet, 'folder', 'second');
+      assert.is(lost.exitCode, 0);
+      assert.is(lost.value.version, 1);
+
+      await fleet.setLogFaults({ lateAppends: 1, lateMs: 4_500 });
+      const late = await edit(fleet, 'folder', 'third');
+      assert.is(late.exitCode, 0);
+      const next = await edit(fleet, 'folder', 'fourth');
+      assert.is(next.exitCode, 0);
+      assert.ok(next.value.version! > late.value.version!);
+      await delay(2_500);
 
-test('killed readers and a killed zone lose nothing that was accepted', () =>
+      const bad = {
+        kind: 'publication',
+        schema: 1,
+        id: 'bad',
+        base: next.value.version,
+        changes: [{ name: '99.toml', content: '[route.x]\nservice = "nowhere"\npath = "/x"\n' }],
+        digest: '0'.repeat(64),
+      };
+      for (const record of [
+        JSON.stringify(bad),
+        'no record at all',
+        '{"kind":"publication","schema":1}',
+      ]) {
+        await fetch(`http://${fleet.log}/streams/configuration`, { method: 'POST', body: record });
+      }
+      const last = await edit(fleet, 'folder', 'fifth');
+      assert.is(last.exitCode, 0);
+      await inForce(last.value.version!, daemons);
+      assert.is(await digests(daemons), 1);
+    }),
+);
+
+scenario('killed readers and a killed zone lose nothing that was accepted', () =>
   withMesh(async (mesh) => {
     const { fleet } = mesh;
     const publishing = edit(fleet, 'folder', 'second');
@@ -147,57 +152,64 @@
     mesh.replace([mesh.daemons[1]!, ...again]);
     await inForce(2, mesh.daemons);
     await allKnown(mesh.daemons);
-  }));
+  }),
+);
 
-test('a daemon frozen past every lease catches up and its late checkpoint reverts nothing', () =>
-  withMesh(async ({ fleet, daemons }) => {
-    const [frozen, ...others] = daemons;
-    frozen!.child.kill('SIGSTOP');
-    await eventually('others notice', async () => {
-      const answer = await fetch(`http://${others[0]!.ready.listening.control}/members`);
-      const members = (await answer.json()) as { id: string; health: string }[];
-      return members.every(({ id, health }) => id !== 'coq-0' || health !== 'alive');
-    });
-    await edit(fleet, 'folder', 'second');
-    const last = await edit(fleet, 'folder', 'third');
-    await inForce(last.value.version!, others);
-    frozen!.child.kill('SIGCONT');
-    await inForce(last.value.version!, daemons);
-    await allKnown(daemons);
-    assert.is(await digests(daemons), 1);
-  }));
-
-test('an outage longer than retention: daemons keep what they have, new ones ask peers, publishing goes on', () =>
-  withMesh(async (mesh) => {
-    const { fleet, daemons } = mesh;
-    const before = await edit(fleet, 'folder', 'second');
-    await inForce(before.value.version!, daemons);
-    await fleet.setLogFaults({ out: true });
-    const refused = await edit(fleet, 'folder', 'third');
-    assert.is(refused.exitCode, 3);
-    await expireAll(fleet);
-    await Fleet.end(daemons[1]!, 'SIGKILL');
-    const { peers } = daemons[0]!.ready.listening;
-    const joined = await fleet.startDaemon({
-      name: 'coq-9',
-      zone: 'coq',
-      extra: QUICK,
-      seeds: [peers],
-    });
-    await inForce(before.value.version!, [joined]);
-    await eventually('knowledge is called old', async () => {
-      const { problems } = await statusOf(joined);
-      return problems.some((problem) => problem.includes("can't confirm"));
-    });
-    await fleet.setLogFaults({ out: false });
-    mesh.replace([daemons[0]!, daemons[2]!, daemons[3]!, joined]);
-    const { control } = joined.ready.listening;
-    const after = await edit(fleet, 'folder', 'fourth', '--daemon', control);
-    assert.is(after.exitCode, 0, after.stderr);
-    await inForce(after.value.version!, mesh.daemons);
-  }));
-
-test('a herd restart with the log out refuses calls as not run until the log is back', () =>
+scenario(
+  'a daemon frozen past every lease catches up and its late checkpoint reverts nothing',
+  () =>
+    withMesh(async ({ fleet, daemons }) => {
+      const [frozen, ...others] = daemons;
+      frozen!.child.kill('SIGSTOP');
+      await eventually('others notice', async () => {
+        const answer = await fetch(`http://${others[0]!.ready.listening.control}/members`);
+        const members = (await answer.json()) as { id: string; health: string }[];
+        return members.every(({ id, health }) => id !== 'coq-0' || health !== 'alive');
+      });
+      await edit(fleet, 'folder', 'second');
+      const last = await edit(fleet, 'folder', 'third');
+      await inForce(last.value.version!, others);
+      frozen!.child.kill('SIGCONT');
+      await inForce(last.value.version!, daemons);
+      await allKnown(daemons);
+      assert.is(await digests(daemons), 1);
+    }),
+);
+
+scenario(
+  'an outage longer than retention: daemons keep what they have, new ones ask peers, publishing goes on',
+  () =>
+    withMesh(async (mesh) => {
+      const { fleet, daemons } = mesh;
+      const before = await edit(fleet, 'folder', 'second');
+      await inForce(before.value.version!, daemons);
+      await fleet.setLogFaults({ out: true });
+      const refused = await edit(fleet, 'folder', 'third');
+      assert.is(refused.exitCode, 3);
+      await expireAll(fleet);
+      await Fleet.end(daemons[1]!, 'SIGKILL');
+      const { peers } = daemons[0]!.ready.listening;
+      const joined = await fleet.startDaemon({
+        name: 'coq-9',
+        zone: 'coq',
+        extra: QUICK,
+        seeds: [peers],
+      });
+      await inForce(before.value.version!, [joined]);
+      await eventually('knowledge is called old', async () => {
+        const { problems } = await statusOf(joined);
+        return problems.some((problem) => problem.includes("can't confirm"));
+      });
+      await fleet.setLogFaults({ out: false });
+      mesh.replace([daemons[0]!, daemons[2]!, daemons[3]!, joined]);
+      const { control } = joined.ready.listening;
+      const after = await edit(fleet, 'folder', 'fourth', '--daemon', control);
+      assert.is(after.exitCode, 0, after.stderr);
+      await inForce(after.value.version!, mesh.daemons);
+    }),
+);
+
+scenario('a herd restart with the log out refuses calls as not run until the log is back', () =>
   withMesh(async (mesh) => {
     const { fleet } = mesh;
     const before = await edit(fleet, 'folder', 'second');
@@ -224,28 +236,32 @@
       Math.max(...(await Promise.all(mesh.daemons.map(versionOf)))) >= before.value.version!,
       true,
     );
-  }));
+  }),
+);
 
-test('checkpoints outlive retention, so that a fleet that restarts whole finds its configuration', () =>
-  withMesh(async (mesh) => {
-    const { fleet } = mesh;
-    const before = await edit(fleet, 'folder', 'second');
-    await inForce(before.value.version!, mesh.daemons);
-    await eventually('a checkpoint of it stands in the log', async () => {
-      const answer = await fetch(
-        `http://${fleet.log}/streams/configuration?from=${before.value.version! + 1}`,
-      );
-      const { records } = (await answer.json()) as { records: { data: string }[] };
-      return records.some(({ data }) => data.startsWith('{"kind":"checkpoint"'));
-    });
-    const body = JSON.stringify({ stream: 'configuration', before: before.value.version! + 1 });
-    await fetch(`http://${fleet.log}/expire`, { method: 'PUT', body });
-    await Promise.all(mesh.daemons.map((daemon) => Fleet.end(daemon, 'SIGKILL')));
-    mesh.replace(await startDaemons(fleet, ZONES));
-    await inForce(before.value.version!, mesh.daemons);
-    const after = await edit(fleet, 'folder', 'third');
-    assert.is(after.exitCode, 0, after.stderr);
-    await inForce(after.value.version!, mesh.daemons);
-  }));
+scenario(
+  'checkpoints outlive retention, so that a fleet that restarts whole finds its configuration',
+  () =>
+    withMesh(async (mesh) => {
+      const { fleet } = mesh;
+      const before = await edit(fleet, 'folder', 'second');
+      await inForce(before.value.version!, mesh.daemons);
+      await eventually('a checkpoint of it stands in the log', async () => {
+        const answer = await fetch(
+          `http://${fleet.log}/streams/configuration?from=${before.value.version! + 1}`,
+        );
+        const { records } = (await answer.json()) as { records: { data: string }[] };
+        return records.some(({ data }) => data.startsWith('{"kind":"checkpoint"'));
+      });
+      const body = JSON.stringify({ stream: 'configuration', before: before.value.version! + 1 });
+      await fetch(`http://${fleet.log}/expire`, { method: 'PUT', body });
+      await Promise.all(mesh.daemons.map((daemon) => Fleet.end(daemon, 'SIGKILL')));
+      mesh.replace(await startDaemons(fleet, ZONES));
+      await inForce(before.value.version!, mesh.daemons);
+      const after = await edit(fleet, 'folder', 'third');
+      assert.is(after.exitCode, 0, after.stderr);
+      await inForce(after.value.version!, mesh.daemons);
+    }),
+);
 
 test.run();
--- a/test/support.ts
+++ b/test/support.ts
@@ -6,6 +6,7 @@
 import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
+import { test } from 'uvu';
 import type { LedgerEntry } from '../stand-in/UpstreamServer';
 import Fleet, {
   eventually,
@@ -16,6 +17,16 @@
 } from '../stand-in/Fleet';
 import type { CallRecord } from '../stand-in/CallerLoad';
 
+/**
+ * Registers a test; scripts/mutants.mjs picks one by AZURESTREAM_SCENARIO.
+ *
+ * @param name - Name of the test.
+ * @param run - The test.
+ */
+export function scenario(name: string, run: () => Promise<void>): void {
+  if (name.startsWith(process.env.AZURESTREAM_SCENARIO ?? '')) test(name, run);
+}
+
 /** A daemon of a test. */
 export type DaemonProcess = FleetProcess<DaemonReady>;
 
