--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,160 @@
+/**
+ * Memory and processor time of one daemon process by what it holds: members known, calls open, and
+ * size of the folder. Each row is a fresh process. Usage: `slopes.ts`.
+ *
+ * @packageDocumentation
+ */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { setTimeout as delay } from 'node:timers/promises';
+import { Agent, request } from 'undici';
+import type {
+  Address,
+  DaemonId,
+  FileName,
+  Incarnation,
+  Offset,
+  ServiceName,
+  ZoneName,
+} from '../src/common/Types';
+import PeerAsker from '../src/connection/PeerAsker';
+import SocketMeter from '../src/connection/SocketMeter';
+import type { MemberRecord } from '../src/connection/Types';
+import type { Dump } from '../src/process/Types';
+import { mergeFolder } from '../src/version/mergeFolder';
+import type { Folder } from '../src/version/Types';
+import Fleet, { eventually, type DaemonReady, type FleetProcess } from '../stand-in/Fleet';
+
+const MIB = 2 ** 20;
+const SETTLE_MS = 3_000;
+const BATCH = 250;
+
+type Daemon = FleetProcess<DaemonReady>;
+
+async function dumpOf(daemon: Daemon): Promise<Dump> {
+  return (await (await fetch(`http://${daemon.ready.listening.control}/dump`)).json()) as Dump;
+}
+
+async function residentMib(daemon: Daemon): Promise<number> {
+  await delay(SETTLE_MS);
+  const { memory } = await dumpOf(daemon);
+  return Number((memory.residentBytes / MIB).toFixed(1));
+}
+
+function member(number: number): MemberRecord {
+  return {
+    id: `fake-${number}` as DaemonId,
+    incarnation: 1 as Incarnation,
+    sequence: 0,
+    zone: `zone-${number % 5}` as ZoneName,
+    address: '127.0.0.1:1' as Address,
+    control: '127.0.0.1:1' as Address,
+    service: `service-${number % 42}` as ServiceName,
+    state: 'serving',
+    healthHint: true,
+    health: 'alive',
+  };
+}
+
+async function withDaemon<Result>(
+  use: (fleet: Fleet, daemon: Daemon) => Promise<Result>,
+): Promise<Result> {
+  const fleet = new Fleet();
+  try {
+    await fleet.startLog();
+    return await use(fleet, await fleet.startDaemon({ name: 'one', zone: 'coq' }));
+  } finally {
+    await fleet.dispose();
+  }
+}
+
+function byMembers(count: number) {
+  return withDaemon(async (_fleet, daemon) => {
+    const asker = new PeerAsker(new SocketMeter());
+    const beat = {
+      from: 'fake-0' as DaemonId,
+      incarnation: 1 as Incarnation,
+      version: null,
+      through: 0 as Offset,
+      ageMs: null,
+      members: '',
+    };
+    for (let first = 0; first < count; first += BATCH) {
+      const records = Array.from({ length: Math.min(BATCH, count - first) }, (_, index) =>
+        member(first + index),
+      );
+      await asker.ask(daemon.ready.listening.peers as Address, (client, signal) =>
+        client.beat.mutate({ records, beat }, { signal }),
+      );
+    }
+    return { members: count, residentMib: await residentMib(daemon) };
+  });
+}
+
+function byCalls(count: number) {
+  return withDaemon(async (fleet, daemon) => {
+    const folder = fleet.path('folder');
+    const { mkdir, writeFile } = await import('node:fs/promises');
+    await mkdir(folder);
+    await writeFile(
+      `${folder}/10.toml`,
+      '[service.stock]\nslots = 2000\nconnections = 2000\n[route.stock]\nservice = "stock"\npath = "/stock"\ntimeout = "1m"\n',
+    );
+    await fleet.command(['publish', folder, '--log', fleet.log]);
+    await fleet.startUpstream('stock', daemon);
+    const { calls } = daemon.ready.listening;
+    await eventually('serves', async () => (await fetch(`http://${calls}/stock`)).status === 200);
+    const agent = new Agent({ connections: 2_000 });
+    const left = new AbortController();
+    const open = Array.from({ length: count }, () =>
+      request(`http://${calls}/stock?work=60000`, {
+        method: 'POST',
+        dispatcher: agent,
+        signal: left.signal,
+      }).catch(() => undefined),
+    );
+    await eventually('open', async () => (await dumpOf(daemon)).calls.open >= count);
+    const result = { openCalls: count, residentMib: await residentMib(daemon) };
+    left.abort();
+    await Promise.all(open);
+    await agent.destroy();
+    return result;
+  });
+}
+
+/** Time to merge and validate a folder, the largest part of a swap. */
+function byFolder(routes: number) {
+  const tables = Array.from(
+    { length: routes },
+    (_, index) => `[route.r${index}]\nservice = "stock"\npath = "/r${index}"\ntimeout = "2s"\n`,
+  );
+  const files = Array.from({ length: 10 }, (_, index) => ({
+    name: `${index}0.toml` as FileName,
+    content: tables.slice((index * routes) / 10, ((index + 1) * routes) / 10).join(''),
+  }));
+  const folder: Folder = [{ name: '00.toml' as FileName, content: '[service.stock]\n' }, ...files];
+  const bytes = folder.reduce((sum, { content }) => sum + content.length, 0);
+  const times = Array.from({ length: 9 }, () => {
+    const began = process.cpuUsage();
+    mergeFolder(folder);
+    return process.cpuUsage(began).user / 1_000;
+  }).sort((a, b) => a - b);
+  return { routes, bytes, mergeCpuMsMedian: times[4], least: times[0], most: times[8] };
+}
+
+async function main(): Promise<void> {
+  const members = [];
+  for (const count of [0, 500, 1_000, 1_500]) members.push(await byMembers(count));
+  const calls = [];
+  for (const count of [0, 250, 500, 1_000]) calls.push(await byCalls(count));
+  const folders = [10, 100, 1_000, 4_000].map(byFolder);
+  console.table(members);
+  console.table(calls);
+  console.table(folders);
+  mkdirSync('bench/results', { recursive: true });
+  writeFileSync(
+    'bench/results/slopes.json',
+    `${JSON.stringify({ members, calls, folders }, undefined, 1)}\n`,
+  );
+}
+
+await main();
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -45,6 +45,6 @@
     banner: {
       js: "const importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;",
     },
-    plugins: mutant ? [mutation(mutant)] : [],
+    plugins: [mutant, mutant?.also].filter(Boolean).map(mutation),
   });
 }
--- a/src/connection/HttpLog.ts
+++ b/src/connection/HttpLog.ts
@@ -1,6 +1,7 @@
 import { Agent, buildConnector, request } from 'undici';
 import { z } from 'zod';
 import type { Address, Disposable, Offset } from '../common/Types';
+import withLinkedSignal from '../common/withLinkedSignal';
 import LogExpiredError from './LogExpiredError';
 import LogRefusedError from './LogRefusedError';
 import LogUnavailableError from './LogUnavailableError';
@@ -132,14 +133,16 @@
     }
   }
 
-  private async exchange(exchange: Exchange): Promise<Response> {
-    const timeout = AbortSignal.timeout(exchange.timeoutMs);
-    const { statusCode, body } = await request(`http://${this.address}${exchange.path}`, {
-      method: exchange.method,
-      body: exchange.body,
-      dispatcher: this.agent,
-      signal: exchange.signal ? AbortSignal.any([exchange.signal, timeout]) : timeout,
+  private exchange(exchange: Exchange): Promise<Response> {
+    const parents = exchange.signal ? [exchange.signal] : [];
+    return withLinkedSignal(parents, exchange.timeoutMs, async (signal) => {
+      const { statusCode, body } = await request(`http://${this.address}${exchange.path}`, {
+        method: exchange.method,
+        body: exchange.body,
+        dispatcher: this.agent,
+        signal,
+      });
+      return { status: statusCode, body: await body.json() };
     });
-    return { status: statusCode, body: await body.json() };
   }
 }
--- a/src/connection/Outbox.ts
+++ b/src/connection/Outbox.ts
@@ -1,4 +1,5 @@
 import sleep from '../common/sleep';
+import withLinkedSignal from '../common/withLinkedSignal';
 import type { DaemonId, VersionNumber } from '../common/Types';
 import isSameRecord from './isSameRecord';
 import type { MemberRecord } from './Types';
@@ -78,7 +79,7 @@
     if (!this.signalled) {
       const early = new AbortController();
       this.notify = () => early.abort();
-      await sleep(timeoutMs, AbortSignal.any([signal, early.signal]));
+      await withLinkedSignal([signal, early.signal], undefined, (ended) => sleep(timeoutMs, ended));
       this.notify = undefined;
     }
     const woken = this.signalled;
--- a/src/connection/Overlay.ts
+++ b/src/connection/Overlay.ts
@@ -1,6 +1,7 @@
 import PQueue from 'p-queue';
 import { jitteredBackoff, jitteredPeriod, type Backoff } from '../common/backoff';
 import sleep from '../common/sleep';
+import withLinkedSignal from '../common/withLinkedSignal';
 import type { Clock, DaemonId, Disposable, Random } from '../common/Types';
 import type PeerAsker from './PeerAsker';
 import PeerLink, { type LinkServices } from './PeerLink';
@@ -61,7 +62,9 @@
     try {
       while (!signal.aborted) {
         this.reconcile();
-        await sleep(RECONCILE_MS, AbortSignal.any([signal, wake.early.signal]));
+        await withLinkedSignal([signal, wake.early.signal], undefined, (ended) =>
+          sleep(RECONCILE_MS, ended),
+        );
         wake.early = new AbortController();
         // Changes come in bursts; the rings are computed once for all of them.
         await sleep(RECONCILE_MS / 10, signal);
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -1,4 +1,5 @@
 import type { Disposable, Logger } from '../common/Types';
+import withLinkedSignal from '../common/withLinkedSignal';
 import type FetchSlot from './FetchSlot';
 import type Gossip from './Gossip';
 import isSameRecord from './isSameRecord';
@@ -23,6 +24,14 @@
   readonly beatMs: number;
 }
 
+/** Waits for an answer no longer than a live peer needs, or until the connection has ended. */
+function answered<Answer>(
+  ended: AbortSignal,
+  ask: (signal: AbortSignal) => Promise<Answer>,
+): Promise<Answer> {
+  return withLinkedSignal([ended], ANSWER_TIMEOUT_MS, ask);
+}
+
 /** The connection that this daemon opened to one peer, and the task that keeps it in use. */
 export default class PeerLink {
   private up = false;
@@ -63,6 +72,9 @@
    */
   public async run(signal: AbortSignal): Promise<void> {
     const connection = new PeerConnection(this.peer.address, this.services.meter);
+    const end = () => connection.dispose();
+    signal.addEventListener('abort', end, { once: true });
+    if (signal.aborted) end();
     let subscription: Disposable | undefined;
     try {
       await this.verify(connection);
@@ -70,7 +82,7 @@
       await this.sync(connection);
       subscription = this.subscribe(connection);
       this.outbox.put([this.services.members.self]);
-      const ended = AbortSignal.any([signal, connection.ended]);
+      const { ended } = connection;
       while (!ended.aborted) {
         const woken = await this.outbox.wait(this.services.beatMs, ended);
         const due =
@@ -83,6 +95,7 @@
       throw new PeerError(this.peer.id, (error as Error).message);
     } finally {
       this.up = false;
+      signal.removeEventListener('abort', end);
       subscription?.dispose();
       connection.dispose();
       this.services.gossip.close(this.outbox);
@@ -90,7 +103,7 @@
   }
 
   private async verify({ client, ended }: PeerConnection): Promise<void> {
-    const id = await client.identity.query(undefined, PeerLink.answerOptions(ended));
+    const id = await answered(ended, (signal) => client.identity.query(undefined, { signal }));
     if (id !== this.peer.id) throw new PeerError(this.peer.id, `${id} answers at its address`);
   }
 
@@ -98,9 +111,8 @@
     const { gossip, members } = this.services;
     this.forced = false;
     const update: BeatRequest = { records: this.outbox.drain(), beat: gossip.beat() };
-    const reply = await connection.client.beat.mutate(
-      update,
-      PeerLink.answerOptions(connection.ended),
+    const reply = await answered(connection.ended, (signal) =>
+      connection.client.beat.mutate(update, { signal }),
     );
     await this.follow(connection, reply.beat);
     if (reply.wanted) await this.deliver(connection, reply.wanted.base);
@@ -114,9 +126,11 @@
     gossip.noteBeat(beat);
     if (heads.isBehind(beat) && fetchSlot.take()) {
       const { version } = heads.knowledge;
-      const message = await client.changes.query({ base: version }, PeerLink.answerOptions(ended));
+      const ask = (base: Beat['version']) =>
+        answered(ended, (signal) => client.changes.query({ base }, { signal }));
+      const message = await ask(version);
       if (message && !heads.fromPeer(message)) {
-        const whole = await client.changes.query({ base: null }, PeerLink.answerOptions(ended));
+        const whole = await ask(null);
         if (whole) heads.fromPeer(whole);
       }
       fetchSlot.free();
@@ -126,14 +140,16 @@
 
   private async deliver({ client, ended }: PeerConnection, base: Beat['version']): Promise<void> {
     const message = this.services.heads.changesSince(base);
-    if (message) await client.deliver.mutate(message, PeerLink.answerOptions(ended));
+    if (message) await answered(ended, (signal) => client.deliver.mutate(message, { signal }));
   }
 
   /** Exchanges the member records in which both sides differ. */
   private async sync({ client, ended }: PeerConnection): Promise<void> {
     const { members, gossip } = this.services;
     const request = { buckets: members.buckets() };
-    const { differing, records } = await client.sync.mutate(request, PeerLink.answerOptions(ended));
+    const { differing, records } = await answered(ended, (signal) =>
+      client.sync.mutate(request, { signal }),
+    );
     gossip.receive(records, this.peer.id);
     const theirs = new Map(records.map((record) => [record.id, record]));
     const news = members
@@ -164,8 +180,4 @@
       connection.dispose();
     }
   }
-
-  private static answerOptions(ended: AbortSignal): { signal: AbortSignal } {
-    return { signal: AbortSignal.any([ended, AbortSignal.timeout(ANSWER_TIMEOUT_MS)]) };
-  }
 }
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -40,6 +40,7 @@
     calls: address,
     peers: address,
     control: address,
+    advertise: address.optional(),
     drain: duration('30s'),
     leave: duration('500ms'),
   }),
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -5,12 +5,12 @@
  */
 import PQueue from 'p-queue';
 import polka from 'polka';
-import { Agent } from 'undici';
 import ResourceStore from '../common/ResourceStore';
 import SeededRandom from '../common/SeededRandom';
 import SystemClock from '../common/SystemClock';
 import type { AttemptNumber, Incarnation } from '../common/Types';
 import CheckpointWriter from '../connection/CheckpointWriter';
+import createFence from '../connection/createFence';
 import FetchSlot from '../connection/FetchSlot';
 import Gossip from '../connection/Gossip';
 import HttpLog from '../connection/HttpLog';
@@ -25,76 +25,30 @@
 import AttemptRegistry, { DEFAULT_REGISTRY_OPTIONS } from '../request/AttemptRegistry';
 import CallHandler from '../request/CallHandler';
 import PeerCallHandler from '../request/PeerCallHandler';
-import PeerTransport, { type Fence } from '../request/PeerTransport';
+import PeerPools from '../request/PeerPools';
+import PeerTransport from '../request/PeerTransport';
 import RoutingTransport from '../request/RoutingTransport';
 import TwoChoiceBalancer from '../request/TwoChoiceBalancer';
 import { mergeFolder } from '../version/mergeFolder';
 import VersionStore from '../version/VersionStore';
-import Daemon, { type DaemonAddresses, type Task } from './Daemon';
+import Daemon, { type Task } from './Daemon';
 import DaemonMetrics from './DaemonMetrics';
 import DebugLogger from './DebugLogger';
 import Inspection from './Inspection';
-import Listener from './Listener';
+import { bindListeners, createListeners } from './listeners';
 import serveOperators from './serveOperators';
 import servePeers from './servePeers';
 import type { Settings } from './settings';
 import UpstreamRegistration from './UpstreamRegistration';
 
 const ADMITTED_AT_ONCE = 8;
-const PEER_CONNECT_TIMEOUT_MS = 1_000;
-const KEEP_ALIVE_MS = 60_000;
 const CHECKPOINTS_PER_RETENTION = 4;
 const JOINS_PER_RETENTION = 4;
 const RANK_DELAYS_PER_CHECKPOINT = 8;
 const MAX_RANK_DELAY_MS = 10_000;
-const BALANCER_SWEEP_MS = 60_000;
+const SWEEP_MS = 60_000;
 const MS_PER_SECOND = 1_000;
 
-/** The servers of a daemon, bound before its parts are built so that its addresses are known. */
-interface Listeners {
-  readonly calls: Listener;
-  readonly peers: Listener;
-  readonly control: Listener;
-}
-
-function createListeners(settings: Settings): Listeners {
-  const limits = {
-    maxHeaderSize: settings.calls.max_header_bytes,
-    headersTimeout: settings.calls.receive,
-    requestTimeout: settings.calls.receive,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-  };
-  return {
-    calls: new Listener(limits),
-    peers: new Listener({ ...limits, maxHeaderSize: 2 * settings.calls.max_header_bytes }),
-    control: new Listener(),
-  };
-}
-
-async function bind(listeners: Listeners, settings: Settings): Promise<DaemonAddresses> {
-  return {
-    calls: await listeners.calls.listen(settings.daemon.calls),
-    peers: await listeners.peers.listen(settings.daemon.peers),
-    control: await listeners.control.listen(settings.daemon.control),
-  };
-}
-
-function createFence(asker: PeerAsker): Fence {
-  return async (upstream, context, giveUp) => {
-    try {
-      const reply = await asker.ask(upstream.address, (client, signal) =>
-        client.fence.mutate(
-          { attempt: context.id, target: upstream.incarnation, giveUp },
-          { signal },
-        ),
-      );
-      return reply.state ?? undefined;
-    } catch {
-      return undefined;
-    }
-  };
-}
-
 /**
  * Binds the addresses and builds every part.
  *
@@ -109,7 +63,7 @@
   const random = new SeededRandom();
   const meter = new SocketMeter();
   const listeners = createListeners(settings);
-  const addresses = await bind(listeners, settings);
+  const addresses = await bindListeners(listeners, settings);
   resources.add(listeners.calls);
   resources.add(listeners.peers);
   resources.add(listeners.control);
@@ -123,7 +77,7 @@
         incarnation: clock.wallTime() as Incarnation,
         sequence: 0,
         zone: own.zone,
-        address: addresses.peers,
+        address: own.advertise ?? addresses.peers,
         control: addresses.control,
         service: null,
         state: 'none',
@@ -213,19 +167,16 @@
     ),
   );
   const balancer = new TwoChoiceBalancer(members, own.zone, clock, random);
-  const sweeper = setInterval(() => balancer.sweep(), BALANCER_SWEEP_MS).unref();
+  const pools = resources.add(new PeerPools(settings.calls.peer_connections, clock));
+  const sweeper = setInterval(() => {
+    balancer.sweep();
+    pools.sweep();
+  }, SWEEP_MS).unref();
   resources.add({ dispose: () => clearInterval(sweeper) });
-  const peerAgent = new Agent({
-    connections: settings.calls.peer_connections,
-    pipelining: 1,
-    connectTimeout: PEER_CONNECT_TIMEOUT_MS,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-  });
-  resources.add({ dispose: () => void peerAgent.destroy() });
   const transport = new RoutingTransport(
     own.name,
     () => registration.local?.upstream,
-    new PeerTransport(peerAgent, createFence(asker), settings.calls.silence, clock),
+    new PeerTransport(pools, createFence(asker), settings.calls.silence, clock),
   );
 
   const incarnation = () => members.self.incarnation;
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -21,6 +21,7 @@
 const MIN_HEDGE_MS = 5;
 const RESCUE_LATENCIES = 10;
 const MIN_RESCUE_MS = 1_000;
+const NONE: ReadonlySet<DaemonId> = new Set();
 
 /** What every call uses. */
 export interface CallServices {
@@ -82,7 +83,7 @@
   public async run(signal: AbortSignal): Promise<Answer> {
     this.budget.deposit(this.terms.retryBudget);
     for (let retries = 0; ; retries += 1) {
-      const upstream = this.services.balancer.choose(this.terms.service, this.tried);
+      const upstream = this.choose();
       if (!upstream) throw this.settle(new NotRunError('no upstream takes the call'));
       this.services.onAttempt(retries === 0 ? 'first' : 'retry');
       try {
@@ -94,6 +95,13 @@
     }
   }
 
+  /** One that was tried comes into question again only where no other is left. */
+  private choose(): Upstream | undefined {
+    const { balancer } = this.services;
+    const { service } = this.terms;
+    return balancer.choose(service, this.tried) ?? balancer.choose(service, NONE);
+  }
+
   private mayRetry(error: CallError, retries: number, signal: AbortSignal): boolean {
     const notRun = error instanceof NotRunError;
     if (!notRun) this.mayHaveRun = true;
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -1,4 +1,4 @@
-import type { Dispatcher } from 'undici';
+import type { Pool } from 'undici';
 import type { Clock } from '../common/Types';
 import {
   LOAD_HEADER,
@@ -11,6 +11,7 @@
 import exchange from './exchange';
 import ExchangeError from './ExchangeError';
 import NotRunError from './NotRunError';
+import type PeerPools from './PeerPools';
 import type StreamedAnswer from './StreamedAnswer';
 import type {
   Answer,
@@ -43,13 +44,13 @@
 /** Sends attempts to the daemon beside the upstream. */
 export default class PeerTransport implements AttemptTransport {
   /**
-   * @param dispatcher - Connections to other daemons.
+   * @param pools - Connections to other daemons.
    * @param fence - Resolves attempts on connections that failed or fell silent.
    * @param silenceMs - How long to wait for an answer's head before asking, in milliseconds.
    * @param clock - Source of time.
    */
   public constructor(
-    private readonly dispatcher: Dispatcher,
+    private readonly pools: PeerPools,
     private readonly fence: Fence,
     private readonly silenceMs: number,
     private readonly clock: Clock,
@@ -62,15 +63,17 @@
     signal: AbortSignal,
   ): Promise<Answer> {
     const fenced = new AbortController();
+    const pool = this.pools.get(upstream.address);
     let verdict: Error | undefined;
     const watch = this.watch(upstream, context, (error) => {
       verdict = error;
+      this.pools.leave(upstream.address, pool);
       fenced.abort();
     });
     const leave = () => fenced.abort();
     signal.addEventListener('abort', leave, { once: true });
     try {
-      const answer = await this.exchange(upstream, request, context, fenced.signal);
+      const answer = await this.exchange(pool, upstream, request, context, fenced.signal);
       answer.onceClosed(() => signal.removeEventListener('abort', leave));
       return await PeerTransport.judge(answer);
     } catch (error) {
@@ -86,13 +89,14 @@
   }
 
   private exchange(
+    pool: Pool,
     upstream: Upstream,
     request: CallRequest,
     context: AttemptContext,
     signal: AbortSignal,
   ): Promise<StreamedAnswer> {
     return exchange({
-      dispatcher: this.dispatcher,
+      dispatcher: pool,
       origin: `http://${upstream.address}`,
       request,
       headers: peerCallHeaders(request, context, upstream.incarnation, this.clock.now()),
--- a/test/configurationFaults.test.ts
+++ b/test/configurationFaults.test.ts
@@ -253,6 +253,12 @@
         const { records } = (await answer.json()) as { records: { data: string }[] };
         return records.some(({ data }) => data.startsWith('{"kind":"checkpoint"'));
       });
+      await eventually('the joins of all stand in the log', async () => {
+        const answer = await fetch(`http://${fleet.log}/streams/joins?from=0`);
+        const { records } = (await answer.json()) as { records: { data: string }[] };
+        const joined = new Set(records.map(({ data }) => (JSON.parse(data) as { id: string }).id));
+        return joined.size === mesh.daemons.length;
+      });
       const body = JSON.stringify({ stream: 'configuration', before: before.value.version! + 1 });
       await fetch(`http://${fleet.log}/expire`, { method: 'PUT', body });
       await Promise.all(mesh.daemons.map((daemon) => Fleet.end(daemon, 'SIGKILL')));
--- /dev/null
+++ b/test/silentConnections.test.ts
@@ -0,0 +1,122 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import Cable from '../stand-in/Cable';
+import CallerLoad from '../stand-in/CallerLoad';
+import Fleet, { eventually } from '../stand-in/Fleet';
+import {
+  brokenPromises,
+  folderOf,
+  inForce,
+  ledgerOf,
+  publish,
+  scenario,
+  startDaemons,
+  writeFolder,
+  type DaemonProcess,
+} from './support';
+
+const ZONES = ['coq', 'coq', 'rogers'];
+const WORK_MS = 3;
+
+/** A mesh in which a cable leads to each daemon; the first has no upstream. */
+interface Mesh {
+  readonly fleet: Fleet;
+  readonly daemons: readonly DaemonProcess[];
+  readonly ports: readonly number[];
+  /** Silences every connection between daemons that is open now. */
+  readonly silence: () => number;
+}
+
+async function withMesh(play: (mesh: Mesh) => Promise<void>): Promise<void> {
+  const fleet = new Fleet();
+  const cables = ZONES.map(() => new Cable());
+  try {
+    await fleet.startLog();
+    // A daemon's port is known only once it runs; until its cable leads there it can't be reached.
+    const near = await Promise.all(cables.map((cable) => cable.listen()));
+    const daemons = await startDaemons(fleet, ZONES, near, (index, { listening }) =>
+      cables[index]!.lead(listening.peers),
+    );
+    await publish(fleet, writeFolder(fleet, 'folder', folderOf(['rentals'], 'first')));
+    await inForce(0, daemons);
+    const upstreams = await Promise.all(
+      daemons.slice(1).map((daemon) => fleet.startUpstream('rentals', daemon, WORK_MS)),
+    );
+    const { control } = daemons[0]!.ready.listening;
+    await eventually('the upstreams serve', async () => {
+      const answer = await fetch(`http://${control}/explain?method=GET&path=/rentals`);
+      return (
+        ((await answer.json()) as { upstreams: unknown[] }).upstreams.length === upstreams.length
+      );
+    });
+    const silence = () => cables.reduce((count, cable) => count + cable.silence(), 0);
+    await play({ fleet, daemons, ports: upstreams.map(({ ready }) => ready.port), silence });
+  } finally {
+    for (const cable of cables) cable.dispose();
+    await fleet.dispose();
+  }
+}
+
+async function callsThroughSilence({ daemons, ports, silence }: Mesh, method: string) {
+  const load = new CallerLoad({
+    daemons: [daemons[0]!.ready.listening.calls],
+    method,
+    path: '/rentals',
+    callers: 8,
+    body: method === 'POST' ? 'charge' : undefined,
+  });
+  let silenced = 0;
+  for (let round = 0; round < 4; round += 1) {
+    const target = load.records.length + 300;
+    await eventually('calls go on', () => load.records.length >= target);
+    silenced += silence();
+  }
+  const target = load.records.length + 300;
+  await eventually('calls go on after the last silence', () => load.records.length >= target);
+  const records = await load.stop();
+  const ledger = (await Promise.all(ports.map(ledgerOf))).flat();
+  return { records, ledger, silenced };
+}
+
+scenario(
+  'connections that go silent for good: charges run at most once and are labelled truly',
+  () =>
+    withMesh(async (mesh) => {
+      const { records, ledger, silenced } = await callsThroughSilence(mesh, 'POST');
+      assert.ok(silenced > 0);
+      assert.equal(brokenPromises(records, ledger, false), []);
+    }),
+);
+
+scenario('connections that go silent for good: every lookup is answered', () =>
+  withMesh(async (mesh) => {
+    const { records, silenced } = await callsThroughSilence(mesh, 'GET');
+    assert.ok(silenced > 0);
+    const failed = records.filter(({ outcome }) => outcome !== 'answered');
+    assert.equal(failed, []);
+  }),
+);
+
+scenario('links that go silent for good are replaced, and a change still comes into force', () =>
+  withMesh(async ({ fleet, daemons, silence }) => {
+    assert.ok(silence() > 0);
+    const result = await publish(
+      fleet,
+      writeFolder(fleet, 'folder', folderOf(['rentals'], 'second')),
+    );
+    const { version } = JSON.parse(result.stdout) as { version: number };
+    await inForce(version, daemons);
+    await eventually('every link is up again', async () => {
+      const dumps = await Promise.all(
+        daemons.map(async ({ ready }) =>
+          (await fetch(`http://${ready.listening.control}/dump`)).json(),
+        ),
+      );
+      return (dumps as { links: { up: boolean }[] }[]).every(
+        ({ links }) => links.length > 0 && links.every(({ up }) => up),
+      );
+    });
+  }),
+);
+
+test.run();
