Let a stopped daemon end: no reconnect timer outlives its link

Cause: the demo sometimes never ended. When a peer closed a link first, the WebSocket client went to sleep for its retry delay, which was set to 24.8 days so that it never reconnects; that timer kept the stopped process alive, and one stayed for every link lost. test/stop.test.ts, failing first: 'never happened: both have ended'.

Ruled out: calls left open (dumps showed none), tasks that don't end.

Change: the delay is 100 ms, after which the client finds itself closed; a closed connection is disposed of at once. An exchange that was cancelled before it was sent is not sent afterwards either. Benches publish a copy of the example folder, as publishing notes its base there; that note had been committed and made the demo fail.

--- a/bench/callPath.ts
+++ b/bench/callPath.ts
@@ -9,7 +9,7 @@
 import { fork } from 'node:child_process';
 import { once } from 'node:events';
 import { createServer } from 'node:http';
-import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { cpSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { build as buildHistogram, type Histogram } from 'hdr-histogram-js';
@@ -121,7 +121,9 @@
     const near = await fleet.startDaemon({ name: 'near', zone: 'coq' });
     const far = await fleet.startDaemon({ name: 'far', zone: 'coq' });
     const upstream = await fleet.startUpstream('stock', far, 0);
-    await fleet.command(['publish', 'examples/association', '--log', fleet.log, '--base', 'none']);
+    const folder = fleet.path('folder');
+    cpSync('examples/association', folder, { recursive: true });
+    await fleet.command(['publish', folder, '--log', fleet.log]);
     const target = `127.0.0.1:${upstream.ready.port}`;
     const hop = fork(process.argv[1]!, ['--bare-hop', target], { execArgv: process.execArgv });
     hops.push(hop);
--- a/bench/cpuPerCall.ts
+++ b/bench/cpuPerCall.ts
@@ -5,7 +5,7 @@
  *
  * @packageDocumentation
  */
-import { readFileSync } from 'node:fs';
+import { cpSync, readFileSync } from 'node:fs';
 import { Agent, request } from 'undici';
 import Fleet, { eventually, type DaemonReady, type FleetProcess } from '../stand-in/Fleet';
 
@@ -40,12 +40,27 @@
     const near = await fleet.startDaemon({ name: 'near', zone: 'coq' });
     const far = await fleet.startDaemon({ name: 'far', zone: 'coq' });
     await fleet.startUpstream('stock', far, 0);
-    await fleet.command(['publish', 'examples/association', '--log', fleet.log, '--base', 'none']);
+    const folder = fleet.path('folder');
+    cpSync('examples/association', folder, { recursive: true });
+    await fleet.command(['publish', folder, '--log', fleet.log]);
     const agent = new Agent({ connections: CALLERS, pipelining: 1 });
-    const urlOf = (daemon: FleetProcess<DaemonReady>) => `http://${daemon.ready.listening.calls}/stock/x`;
+    const urlOf = (daemon: FleetProcess<DaemonReady>) =>
+      `http://${daemon.ready.listening.calls}/stock/x`;
     const ways = [
-      { name: 'one daemon', url: urlOf(far), daemons: [far], us: [] as number[], rate: [] as number[] },
-      { name: 'two daemons', url: urlOf(near), daemons: [near, far], us: [] as number[], rate: [] as number[] },
+      {
+        name: 'one daemon',
+        url: urlOf(far),
+        daemons: [far],
+        us: [] as number[],
+        rate: [] as number[],
+      },
+      {
+        name: 'two daemons',
+        url: urlOf(near),
+        daemons: [near, far],
+        us: [] as number[],
+        rate: [] as number[],
+      },
     ];
     for (const { url } of ways) {
       await eventually(url, async () => (await fetch(url)).status === 200);
--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -7,7 +7,8 @@
 import type { PeerRouter } from './peerRouter';
 import type SocketMeter from './SocketMeter';
 
-const NEVER_MS = 2 ** 31 - 1;
+/** After this the client looks whether it may reconnect; by then it has been closed. */
+const RECONNECT_CHECK_MS = 100;
 
 /** One WebSocket connection to a peer; it isn't reopened when it ends. */
 export default class PeerConnection implements Disposable {
@@ -32,9 +33,9 @@
     const wsClient = createWSClient({
       url: `ws://${address}${PEER_PATH}`,
       WebSocket: meteredSocket(meter, (socket) => sockets.push(socket)),
-      retryDelayMs: () => NEVER_MS,
+      retryDelayMs: () => RECONNECT_CHECK_MS,
       experimental_encoder: messageEncoder,
-      onClose: () => this.end.abort(),
+      onClose: () => this.dispose(),
     });
     this.closeClient = () => void wsClient.close().catch(() => undefined);
     this.client = createTRPCClient<PeerRouter>({ links: [wsLink({ client: wsClient })] });
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -28,11 +28,14 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   private started = false;
 
+  private cancelled = false;
+
   private answer: StreamedAnswer | undefined;
 
   private controller: Dispatcher.DispatchController | undefined;
 
   public readonly abort = (): void => {
+    this.cancelled = true;
     this.answer?.fail('aborted');
     if (this.controller) this.controller.abort(new Error('aborted'));
     else this.reject(new ExchangeError('aborted before it was sent', false));
@@ -43,6 +46,7 @@
     private readonly resolve: (answer: StreamedAnswer) => void,
     private readonly reject: (error: ExchangeError) => void,
   ) {
+    this.cancelled = signal.aborted;
     signal.addEventListener('abort', this.abort, { once: true });
   }
 
@@ -50,7 +54,7 @@
     this.controller = controller;
     // The client may put a request on a second connection; a sent one must not run twice.
     if (this.started) controller.abort(new Error('the connection closed after sending'));
-    else if (this.signal.aborted) controller.abort(new Error('aborted'));
+    else if (this.cancelled) controller.abort(new Error('aborted'));
     else this.started = true;
   }
 
