--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -124,7 +124,10 @@
 }
 
 async function main(): Promise<void> {
-  const cli = parseArguments(process.argv.slice(2));
+  const argv = process.argv.slice(2);
+  const cli = parseArguments(argv);
+  // The library shows help by itself only where nothing else is on the command line.
+  if (argv.includes('--help')) cli.showHelp(EXIT.ok);
   const [name, ...args] = cli.input;
   const command = COMMANDS.find((candidate) => candidate.name === name);
   if (!command) {
--- a/src/connection/HttpLog.ts
+++ b/src/connection/HttpLog.ts
@@ -1,4 +1,4 @@
-import { Agent, buildConnector, request } from 'undici';
+import { Agent, request } from 'undici';
 import { z } from 'zod';
 import type { Address, Disposable, Offset } from '../common/Types';
 import withLinkedSignal from '../common/withLinkedSignal';
@@ -6,10 +6,10 @@
 import LogRefusedError from './LogRefusedError';
 import LogUnavailableError from './LogUnavailableError';
 import LogUnknownOutcomeError from './LogUnknownOutcomeError';
+import meteredConnector from './meteredConnector';
 import type SocketMeter from './SocketMeter';
 import type { Log, LogBatch, LogBounds, StreamName } from './Types';
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const ANSWER_TIMEOUT_MS = 5_000;
 const NEVER_SENT_CODES = new Set([
   'ECONNREFUSED',
@@ -57,14 +57,7 @@
     private readonly streamPrefix: string,
     meter: SocketMeter,
   ) {
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-    this.agent = new Agent({
-      connect: (options, callback) =>
-        connect(options, (...result) => {
-          if (result[1]) meter.track(result[1]);
-          callback(...result);
-        }),
-    });
+    this.agent = new Agent({ connect: meteredConnector(meter) });
   }
 
   public async append(stream: StreamName, data: string): Promise<Offset> {
--- a/src/connection/PeerAsker.ts
+++ b/src/connection/PeerAsker.ts
@@ -1,11 +1,11 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
-import { Agent, buildConnector, fetch } from 'undici';
+import { Agent, fetch, type buildConnector } from 'undici';
 import type { Address, DaemonId } from '../common/Types';
+import meteredConnector from './meteredConnector';
 import PEER_PATH from './peerPath';
 import type { PeerRouter } from './peerRouter';
 import type SocketMeter from './SocketMeter';
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const ASK_TIMEOUT_MS = 1_500;
 
 /** Asks a peer once, on a connection of its own, so that no older connection's silence matters. */
@@ -14,12 +14,7 @@
 
   /** @param meter - Counts the bytes. */
   public constructor(meter: SocketMeter) {
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-    this.connect = (options, callback) =>
-      connect(options, (...result) => {
-        if (result[1]) meter.track(result[1]);
-        callback(...result);
-      });
+    this.connect = meteredConnector(meter);
   }
 
   /**
--- /dev/null
+++ b/src/connection/meteredConnector.ts
@@ -0,0 +1,17 @@
+import { buildConnector } from 'undici';
+import type SocketMeter from './SocketMeter';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/**
+ * @param meter - Counts the bytes of every socket that is connected.
+ * @returns Opens connections for an agent.
+ */
+export default function meteredConnector(meter: SocketMeter): buildConnector.connector {
+  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  return (options, callback) =>
+    connect(options, (...result) => {
+      if (result[1]) meter.track(result[1]);
+      callback(...result);
+    });
+}
--- a/test/callFaults.test.ts
+++ b/test/callFaults.test.ts
@@ -57,6 +57,13 @@
   }
 }
 
+/** Starts a daemon that has ended anew, at the same addresses. */
+async function restart(fleet: Fleet, { ready }: DaemonProcess, index: number): Promise<void> {
+  const zone = ZONES[index]!;
+  const name = `${zone}-${index}`;
+  await fleet.startDaemon({ name, zone, extra: QUICK, addresses: ready.listening });
+}
+
 function loadOn(entry: DaemonProcess, method: string, query = ''): CallerLoad {
   return new CallerLoad({
     daemons: [entry.ready.listening.calls],
@@ -96,13 +103,7 @@
     for (const [index, daemon] of daemons.entries()) {
       await Fleet.end(daemon, 'SIGKILL');
       await enough(load, 300);
-      const zone = ZONES[index + 1]!;
-      await fleet.startDaemon({
-        name: `${zone}-${index + 1}`,
-        zone,
-        extra: QUICK,
-        addresses: daemon.ready.listening,
-      });
+      await restart(fleet, daemon, index + 1);
       await serving(entry, upstreams.length);
       await enough(load, 300);
     }
@@ -151,13 +152,7 @@
     for (const [index, daemon] of daemons.entries()) {
       await enough(lookups, 200);
       assert.is(await Fleet.end(daemon), 0);
-      const zone = ZONES[index + 1]!;
-      await fleet.startDaemon({
-        name: `${zone}-${index + 1}`,
-        zone,
-        extra: QUICK,
-        addresses: daemon.ready.listening,
-      });
+      await restart(fleet, daemon, index + 1);
       await serving(entry, upstreams.length);
     }
     const looked = await lookups.stop();
--- a/test/commands.test.ts
+++ b/test/commands.test.ts
@@ -68,6 +68,46 @@
   }
 });
 
+test('each command has its help', async () => {
+  const fleet = new Fleet();
+  try {
+    const lines: string[] = [];
+    for (const name of [
+      'run',
+      'check',
+      'merge',
+      'diff',
+      'pull',
+      'publish',
+      'status',
+      'dump',
+      'explain',
+    ]) {
+      const { exitCode, stdout } = await fleet.command([name, '--help']);
+      lines.push(
+        `${exitCode} ${stdout
+          .split('\n')
+          .find((line) => line.trim().startsWith(name))
+          ?.trim()}`,
+      );
+    }
+    assert.snapshot(
+      lines.join('\n'),
+      `0 run                           run the daemon; needs --settings
+0 check FOLDER                  merge and validate a folder; print every fault
+0 merge FOLDER                  print the merged configuration, each value with the file it comes from
+0 diff FOLDER                   compare a folder with the one in force
+0 pull FOLDER                   make a folder equal to the one in force; other .toml files in it are removed
+0 publish FOLDER                check, append to the log and wait for the verdict; --wait until in force everywhere
+0 status                        version and digest of each live daemon, which lag, and why
+0 dump ADDRESS                  the whole state of one daemon, as JSON
+0 explain ADDRESS METHOD PATH   which route matches a call, from which file, which upstreams, which limits`,
+    );
+  } finally {
+    await fleet.dispose();
+  }
+});
+
 test('publish, pull, diff, status and explain agree on what is in force', async () => {
   const fleet = new Fleet();
   try {
