--- a/bench/balancer.ts
+++ b/bench/balancer.ts
@@ -1,6 +1,6 @@
 /**
  * Choice among four upstreams of which one is slow, one cold and one lying (it reports no load and
- * answers a share of its calls with failures), by virtual time: two choices, round robin and plain
+ * answers a share of its calls with failures), by virtual time: the forecast, round robin and plain
  * least in flight see the same arrivals. Deterministic; the machine's noise has no part in it.
  * Usage: `balancer.ts [SEED]`.
  *
@@ -14,11 +14,19 @@
   DaemonId,
   Incarnation,
   Random,
+  RouteName,
   ServiceName,
   ZoneName,
 } from '../src/common/Types';
-import TwoChoiceBalancer from '../src/request/TwoChoiceBalancer';
-import type { AttemptResult, Balancer, Upstream } from '../src/request/Types';
+import ForecastBalancer from '../src/request/ForecastBalancer';
+import type {
+  AttemptResult,
+  Balancer,
+  KnownLoad,
+  Placement,
+  Upstream,
+  UpstreamLoad,
+} from '../src/request/Types';
 import type { Service } from '../src/version/Types';
 import ManualClock from '../stand-in/ManualClock';
 
@@ -40,6 +48,16 @@
   connections: 120,
   queue: 10_000,
   warmUpMs: COLD_MS,
+  health: undefined,
+};
+
+const ROUTE = 'lookup' as RouteName;
+const PLACEMENT: Placement = {
+  service: SERVICE.name,
+  route: ROUTE,
+  slots: SLOTS,
+  objectiveMs: 10 * WORK_MS,
+  exclude: new Set(),
 };
 
 type Kind = 'sound' | 'slow' | 'cold' | 'lying';
@@ -67,8 +85,17 @@
     else this.running -= 1;
   }
 
-  public get load(): number {
-    return this.kind === 'lying' ? 0 : (this.running + this.queue.length) / SLOTS;
+  /** A lying server tells of no load and no failures. */
+  public get load(): UpstreamLoad {
+    const lies = this.kind === 'lying';
+    return {
+      running: lies ? 0 : this.running,
+      waiting: lies ? 0 : this.queue.length,
+      slots: SLOTS,
+      waitMs: lies ? 0 : (this.queue.length * WORK_MS) / SLOTS,
+      durationMs: undefined,
+      failureShare: 0,
+    };
   }
 
   public workMs(now: number, random: Random): number {
@@ -111,6 +138,10 @@
   public latencyMs(): number {
     return WORK_MS;
   }
+
+  public known(): KnownLoad | undefined {
+    return undefined;
+  }
 }
 
 interface Moment {
@@ -136,6 +167,7 @@
     suspect: false,
     healthHint: true,
     servingSince: kind === 'cold' ? 0 : -COLD_MS,
+    slots: undefined,
   }));
   const balancers = Array.from({ length: CALLERS }, () => create(clock, random, upstreams));
   const histogram = buildHistogram();
@@ -147,13 +179,13 @@
     moments.splice(index, 0, { at: time, happen });
   };
   const call = (balancer: Balancer) => {
-    const upstream = balancer.choose(SERVICE, new Set())!;
+    const upstream = balancer.choose(PLACEMENT)!;
     const server = servers.get(upstream.daemon)!;
     const began = clock.now();
     balancer.begin(upstream);
     const end = (result: AttemptResult) => {
       server.finish();
-      balancer.end(upstream, result);
+      balancer.end(upstream, ROUTE, result);
     };
     server.run(() => {
       const fails = server.kind === 'lying' && random.below(PARTS) < LYING_FAILURES * PARTS;
@@ -198,10 +230,16 @@
 const capacity = (4 * SLOTS * US_PER_MS) / WORK_MS;
 const results = [0.3, 0.6].flatMap((share) => [
   play(
-    'two choices',
+    'forecast',
     share * capacity,
     (clock, random, upstreams) =>
-      new TwoChoiceBalancer({ upstreams: () => upstreams }, 'coq' as ZoneName, clock, random),
+      new ForecastBalancer(
+        { upstreams: () => upstreams },
+        { isLost: () => false },
+        'coq' as ZoneName,
+        clock,
+        random,
+      ),
   ),
   play(
     'round robin',
--- a/bench/fleetHost.ts
+++ b/bench/fleetHost.ts
@@ -6,6 +6,7 @@
  */
 import type Daemon from '../src/process/Daemon';
 import { parseSettings } from '../src/process/settings';
+import SettingsHolder from '../src/process/SettingsHolder';
 import wireDaemon from '../src/process/wireDaemon';
 
 /** What the driver asks of a host. */
@@ -35,7 +36,7 @@
 
 async function start(settings: readonly string[]): Promise<void> {
   const started = await Promise.all(
-    settings.map((text) => wireDaemon(parseSettings(text, 'bench'))),
+    settings.map((text) => wireDaemon(new SettingsHolder('bench', parseSettings(text, 'bench')))),
   );
   for (const daemon of started) {
     daemon.onSwap(({ head }) => reply({ kind: 'swap', version: head.version, at: Date.now() }));
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -51,6 +51,8 @@
     service: `service-${number % 42}` as ServiceName,
     state: 'serving',
     healthHint: true,
+    slots: null,
+    readsLog: true,
     health: 'alive',
   };
 }
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,16 @@
 import tsdoc from 'eslint-plugin-tsdoc';
 
 export default [
-  { ignores: ['dist/**', 'dist-mutant/**', 'node_modules/**', 'bench/results/**'] },
+  {
+    ignores: [
+      'dist/**',
+      'target/**',
+      'journal/**',
+      'dist-mutant/**',
+      'node_modules/**',
+      'bench/results/**',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/scripts/binary.mjs
+++ b/scripts/binary.mjs
@@ -1,17 +1,22 @@
-/** Injects dist/azurestream.cjs into a copy of the Node.js executable: dist/azurestream. */
+/**
+ * Injects azurestream.cjs of a folder into a copy of the Node.js executable there: azurestream.
+ * Usage: `binary.mjs [FOLDER]`.
+ */
 import { execFileSync } from 'node:child_process';
 import { chmodSync, copyFileSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { inject } from 'postject';
 
-const config = 'dist/sea-config.json';
-const blob = 'dist/azurestream.blob';
-const target = 'dist/azurestream';
+const folder = process.argv[2] ?? 'dist';
+const config = `${folder}/sea-config.json`;
+const blob = `${folder}/azurestream.blob`;
+const target = `${folder}/azurestream`;
 writeFileSync(
   config,
   JSON.stringify({
-    main: 'dist/azurestream.cjs',
+    main: `${folder}/azurestream.cjs`,
     output: blob,
     disableExperimentalSEAWarning: true,
+    useCodeCache: true,
   }),
 );
 execFileSync(process.execPath, ['--experimental-sea-config', config], { stdio: 'inherit' });
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,4 @@
-/** Bundles the daemon and the stand-ins into dist/. */
+/** Bundles the daemon and the stand-ins. Usage: `build.mjs [FOLDER]`. */
 import bundle from './bundle.mjs';
 
-await bundle('dist');
+await bundle(process.argv[2] ?? 'dist');
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -37,6 +37,8 @@
     platform: 'node',
     format: 'cjs',
     target: 'node20',
+    minifyWhitespace: true,
+    minifySyntax: true,
     logLevel: 'warning',
     define: {
       'import.meta.url': 'importMetaUrl',
--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -40,8 +40,7 @@
     --json                print the result as JSON, for programs
     --help, --version
 
-  Exit codes: 0 done; 1 refused or wrong input; 2 wrong usage; 3 out of reach or not settled.
-  DEBUG=azurestream:* selects the log lines.`;
+  Exit codes: 0 done; 1 refused or wrong input; 2 wrong usage; 3 out of reach or not settled.`;
 
 function commandHelp(commands: readonly Command[]): string {
   const lines = commands.map(
--- a/src/command/run.ts
+++ b/src/command/run.ts
@@ -1,5 +1,7 @@
+import { watchFile } from 'node:fs';
 import { setFlagsFromString } from 'node:v8';
 import { readSettings } from '../process/settings';
+import SettingsHolder from '../process/SettingsHolder';
 import wireDaemon from '../process/wireDaemon';
 import CommandError from './CommandError';
 import { EXIT, type Command } from './Types';
@@ -7,6 +9,8 @@
 /** MiB; a larger young generation makes collections rarer, which calls would wait for. */
 const SEMI_SPACE_MIB = 16;
 const SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+/** How often the settings file is looked at, in milliseconds; it may change without a signal. */
+const SETTINGS_CHECK_MS = 2_000;
 
 /** Resolves at the first signal to stop; a second one ends the process at once. */
 function stopRequested(): Promise<void> {
@@ -33,9 +37,12 @@
     }
     setFlagsFromString(`--semi-space-growth-factor=2`);
     setFlagsFromString(`--min-semi-space-size=${SEMI_SPACE_MIB}`);
-    const settings = readSettings(flags.settings);
     const stop = stopRequested();
+    const settings = new SettingsHolder(flags.settings, readSettings(flags.settings));
     const daemon = await wireDaemon(settings);
+    const reload = () => daemon.reload();
+    process.on('SIGHUP', reload);
+    watchFile(flags.settings, { interval: SETTINGS_CHECK_MS, persistent: false }, reload);
     daemon.start();
     output.print(JSON.stringify({ listening: daemon.addresses }));
     await stop;
--- a/src/common/Types.ts
+++ b/src/common/Types.ts
@@ -15,6 +15,10 @@
 export type ServiceName = Branded<string, 'ServiceName'>;
 /** Name of a route, as a `[route.NAME]` table declares it. */
 export type RouteName = Branded<string, 'RouteName'>;
+/** Id that a caller gave its request. */
+export type RequestId = Branded<string, 'RequestId'>;
+/** Id of one start of an upstream. */
+export type InstanceId = Branded<string, 'InstanceId'>;
 /** Name of an availability zone. */
 export type ZoneName = Branded<string, 'ZoneName'>;
 /** Name of a file in the configuration folder. */
@@ -29,7 +33,7 @@
 export type PublicationId = Branded<string, 'PublicationId'>;
 /** SHA-256 in hexadecimal. */
 export type Digest = Branded<string, 'Digest'>;
-/** Start time of a daemon's process in milliseconds since the epoch; higher is newer. */
+/** Number of a daemon's process among the starts of its VM; higher is newer. */
 export type Incarnation = Branded<number, 'Incarnation'>;
 /** Number of an attempt, rising by one within one incarnation of the daemon that sent it. */
 export type AttemptNumber = Branded<number, 'AttemptNumber'>;
@@ -60,7 +64,9 @@
 }
 
 /** Fields of a log line, beside its message. */
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | object | null | undefined>
+>;
 
 /** Writes the log lines of one part. */
 export interface Logger {
--- a/src/connection/Joiner.ts
+++ b/src/connection/Joiner.ts
@@ -1,30 +1,20 @@
-import { z } from 'zod';
 import { jitteredBackoff, jitteredPeriod, type Backoff } from '../common/backoff';
 import sleep from '../common/sleep';
-import type { Address, Clock, DaemonId, Disposable, Logger, Offset, Random } from '../common/Types';
+import type { Address, Clock, DaemonId, Disposable, Logger, Random } from '../common/Types';
 import LogError from './LogError';
 import type Overlay from './Overlay';
-import type { Log, Membership } from './Types';
+import type { Contact, ContactStore, Membership } from './Types';
 import ZoneRank from './ZoneRank';
 
 const CONTACTS_TRIED = 4;
-const JOINS_READ = 64;
 const ANNOUNCERS_PER_ZONE = 2;
 const CHECK_MS = 2_000;
 const ALONE: Backoff = { baseMs: 300, capMs: 10_000 };
 
-const joinSchema = z.object({ id: z.string().min(1), address: z.string().min(1) });
-
-/** A daemon that can be asked for the members. */
-interface Contact {
-  readonly id: DaemonId;
-  readonly address: Address;
-}
-
 /** Where first contacts come from. */
 export interface JoinerOptions {
   /** Addresses from the settings. */
-  readonly seeds: readonly Address[];
+  readonly seeds: () => readonly Address[];
   /** How often the joins are written anew, in ms, so that the log always keeps some. */
   readonly refreshMs: number;
 }
@@ -39,7 +29,7 @@
   private refreshedAt: number | undefined;
 
   public constructor(
-    private readonly log: Log,
+    private readonly store: ContactStore,
     private readonly members: Membership,
     private readonly overlay: Overlay,
     private readonly options: JoinerOptions,
@@ -77,17 +67,17 @@
       await action();
     } catch (error) {
       if (!(error instanceof LogError)) throw error;
-      this.logger.log('The stream of joins is out of reach.', { reason: error.message });
+      this.logger.log('The contacts are out of reach.', { reason: error.message });
     }
   }
 
   private async contactSeeds(): Promise<boolean> {
-    const others = this.options.seeds.filter((address) => address !== this.members.self.address);
+    const others = this.options.seeds().filter((address) => address !== this.members.self.address);
     return this.contact(others.map((address) => ({ id: address as string as DaemonId, address })));
   }
 
   private async contactByLog(signal: AbortSignal): Promise<void> {
-    const contacts = await this.readContacts(signal);
+    const contacts = await this.store.contacts(signal);
     const reached = await this.contact(contacts);
     const announced = contacts.some(({ address }) => address === this.members.self.address);
     if (!reached && !announced) await this.announce();
@@ -98,30 +88,17 @@
     if (this.rank.value >= ANNOUNCERS_PER_ZONE) return;
     const now = this.clock.now();
     if (this.refreshedAt !== undefined && now - this.refreshedAt < this.options.refreshMs) return;
-    const contacts = await this.readContacts(signal);
+    const contacts = await this.store.contacts(signal);
     await this.contact(contacts.filter(({ id }) => !this.members.get(id)));
     await this.announce();
   }
 
   private async announce(): Promise<void> {
     const { id, address } = this.members.self;
-    await this.log.append('joins', JSON.stringify({ id, address }));
+    await this.store.announce({ id, address });
     this.refreshedAt = this.clock.now();
   }
 
-  private async readContacts(signal: AbortSignal): Promise<Contact[]> {
-    const { earliest, next } = await this.log.bounds('joins');
-    const from = Math.max(earliest, next - JOINS_READ) as Offset;
-    if (from >= next) return [];
-    const { records } = await this.log.read('joins', from, 0, signal);
-    const contacts = new Map<DaemonId, Contact>();
-    for (const { data } of records) {
-      const contact = Joiner.decode(data);
-      if (contact) contacts.set(contact.id, contact);
-    }
-    return [...contacts.values()];
-  }
-
   private async contact(contacts: readonly Contact[]): Promise<boolean> {
     const pool = contacts.filter(({ id, address }) => !this.isSelf(id, address));
     for (let tried = 0; tried < CONTACTS_TRIED && pool.length > 0; tried += 1) {
@@ -134,13 +111,4 @@
   private isSelf(id: DaemonId, address: Address): boolean {
     return id === this.members.self.id || address === this.members.self.address;
   }
-
-  private static decode(data: string): Contact | undefined {
-    try {
-      const { id, address } = joinSchema.parse(JSON.parse(data));
-      return { id: id as DaemonId, address: address as Address };
-    } catch {
-      return undefined;
-    }
-  }
 }
--- a/src/connection/LogTail.ts
+++ b/src/connection/LogTail.ts
@@ -6,7 +6,7 @@
 import type { Merger, Verdict } from '../version/Types';
 import LogError from './LogError';
 import LogExpiredError from './LogExpiredError';
-import type { HeadTracker, Log, LogBatch, Membership } from './Types';
+import type { HeadTracker, Log, LogBatch, LogTailState, Membership } from './Types';
 import LogUnavailableError from './LogUnavailableError';
 import ZoneRank from './ZoneRank';
 
@@ -22,17 +22,6 @@
   readonly staleMs: number;
 }
 
-/** Counters and state of the tail, for dump and metrics. */
-export interface LogTailState {
-  readonly reading: boolean;
-  readonly anchored: boolean;
-  readonly unknownSchema: number | undefined;
-  readonly reads: number;
-  readonly failures: number;
-  readonly lastCheckpointAt: number | undefined;
-  readonly acceptedSinceCheckpoint: number;
-}
-
 /**
  * Tails the configuration stream while this daemon ranks among the readers of its zone, or while
  * its peers can't tell it how things stand. Ranking needs no agreement: a wrong view of the members
--- a/src/connection/MemberTable.test.ts
+++ b/src/connection/MemberTable.test.ts
@@ -19,6 +19,8 @@
     service: STOCK,
     state: 'serving',
     healthHint: true,
+    slots: null,
+    readsLog: true,
     health: 'alive',
     ...changes,
   };
--- a/src/connection/MemberTable.ts
+++ b/src/connection/MemberTable.ts
@@ -27,7 +27,9 @@
 }
 
 /** The fields of a record that its daemon may change. */
-export type OwnChange = Partial<Pick<MemberRecord, 'service' | 'state' | 'healthHint'>>;
+export type OwnChange = Partial<
+  Pick<MemberRecord, 'service' | 'state' | 'healthHint' | 'slots' | 'readsLog'>
+>;
 
 interface Entry {
   record: MemberRecord;
@@ -258,6 +260,7 @@
         suspect: record.health === 'suspect',
         healthHint: record.healthHint,
         servingSince,
+        slots: record.slots ?? undefined,
       }));
   }
 }
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -13,7 +13,7 @@
   VersionNumber,
   ZoneName,
 } from '../common/Types';
-import type { Delta, Head } from '../version/Types';
+import type { Delta, Folder, Head } from '../version/Types';
 
 /** Name of a stream of the log service. */
 export type StreamName = 'configuration' | 'joins';
@@ -64,6 +64,71 @@
   bounds(stream: StreamName): Promise<LogBounds>;
 }
 
+/** A whole configuration that a store keeps. */
+export interface PublishedConfiguration {
+  readonly version: VersionNumber;
+  readonly folder: Folder;
+}
+
+/** What a store had when it was read. */
+export interface ConfigurationBatch {
+  /** The newest configuration among what was read, if any. */
+  readonly configuration: PublishedConfiguration | undefined;
+  /** Where to read on. */
+  readonly next: Offset;
+}
+
+/** A store that keeps the newest whole configuration for ever. */
+export interface ConfigurationStore {
+  /**
+   * @param signal - Ends the read.
+   * @returns The newest configuration.
+   * @throws LogUnavailableError - The read failed.
+   */
+  newest(signal: AbortSignal): Promise<ConfigurationBatch>;
+  /**
+   * @param from - Where to read on.
+   * @param waitMs - How long to wait for news.
+   * @param signal - Ends the wait.
+   * @returns What came; nothing where it didn't come in time.
+   * @throws LogExpiredError - The store dropped what came at `from`.
+   * @throws LogUnavailableError - The read failed.
+   */
+  changes(from: Offset, waitMs: number, signal: AbortSignal): Promise<ConfigurationBatch>;
+}
+
+/** A daemon that can be asked for the members. */
+export interface Contact {
+  readonly id: DaemonId;
+  readonly address: Address;
+}
+
+/** Keeps contacts where a daemon that knows no other finds them. */
+export interface ContactStore {
+  /**
+   * @param signal - Ends the read.
+   * @returns Daemons that announced themselves.
+   * @throws LogError - The read failed.
+   */
+  contacts(signal: AbortSignal): Promise<readonly Contact[]>;
+  /**
+   * @param contact - This daemon.
+   * @throws LogError - It may not have been kept.
+   */
+  announce(contact: Contact): Promise<void>;
+}
+
+/** Counters and state of what reads the log, for dump and metrics. */
+export interface LogTailState {
+  readonly reading: boolean;
+  readonly anchored: boolean;
+  readonly unknownSchema: number | undefined;
+  readonly reads: number;
+  readonly failures: number;
+  readonly lastCheckpointAt: number | undefined;
+  readonly acceptedSinceCheckpoint: number;
+}
+
 /** State of an upstream, as the daemon beside it knows it. */
 export type UpstreamState = 'none' | 'warming' | 'serving' | 'draining' | 'gone';
 
@@ -84,6 +149,10 @@
   readonly state: UpstreamState;
   /** What the upstream says of its own health. */
   readonly healthHint: boolean;
+  /** Calls that the upstream runs at the same time; null where it didn't say. */
+  readonly slots: number | null;
+  /** Whether the daemon's reads of the log succeed. */
+  readonly readsLog: boolean;
   readonly health: MemberHealth;
 }
 
--- a/src/connection/ZoneRank.ts
+++ b/src/connection/ZoneRank.ts
@@ -35,7 +35,8 @@
     const own = rendezvousWeight(this.duty, self.id);
     return this.members
       .live()
-      .filter(({ id, zone, health }) => zone === self.zone && id !== self.id && health === 'alive')
+      .filter(({ id, zone }) => zone === self.zone && id !== self.id)
+      .filter(({ health, readsLog }) => health === 'alive' && readsLog)
       .filter(({ id }) => rendezvousWeight(this.duty, id) > own).length;
   }
 }
--- a/src/connection/messageSchema.ts
+++ b/src/connection/messageSchema.ts
@@ -44,6 +44,8 @@
   service: text<ServiceName>().nullable(),
   state: z.enum(['none', 'warming', 'serving', 'draining', 'gone']),
   healthHint: z.boolean(),
+  slots: z.int().min(1).nullable(),
+  readsLog: z.boolean(),
   health: z.enum(['alive', 'suspect', 'dead']),
 });
 
--- a/src/connection/meteredConnector.ts
+++ b/src/connection/meteredConnector.ts
@@ -5,10 +5,14 @@
 
 /**
  * @param meter - Counts the bytes of every socket that is connected.
+ * @param timeoutMs - Longest wait for a connection, in milliseconds.
  * @returns Opens connections for an agent.
  */
-export default function meteredConnector(meter: SocketMeter): buildConnector.connector {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+export default function meteredConnector(
+  meter: SocketMeter,
+  timeoutMs = CONNECT_TIMEOUT_MS,
+): buildConnector.connector {
+  const connect = buildConnector({ timeout: timeoutMs });
   return (options, callback) =>
     connect(options, (...result) => {
       if (result[1]) meter.track(result[1]);
--- a/src/connection/peerPath.ts
+++ b/src/connection/peerPath.ts
@@ -1,4 +1,7 @@
-/** Path under which a daemon serves its peers' procedures, beside the calls on the same port. */
+/** Path below which daemons offer their procedures to each other. */
 const PEER_PATH = '/.azurestream';
 
+/** Path at which a daemon says that it answers. */
+export const ALIVE_PATH = `${PEER_PATH}-alive`;
+
 export default PEER_PATH;
--- a/src/process/Daemon.ts
+++ b/src/process/Daemon.ts
@@ -1,13 +1,20 @@
 import sleep from '../common/sleep';
-import type { Address, Disposable, Event, Logger } from '../common/Types';
+import type { Address, Clock, Disposable, Event, Logger } from '../common/Types';
 import type MemberTable from '../connection/MemberTable';
 import type SocketMeter from '../connection/SocketMeter';
 import type { SocketBytes } from '../connection/SocketMeter';
 import type CallHandler from '../request/CallHandler';
 import type { CurrentVersion, Snapshot } from '../version/Types';
 import type Listener from './Listener';
+import type Readiness from './Readiness';
+import type SettingsHolder from './SettingsHolder';
 import type UpstreamRegistration from './UpstreamRegistration';
 
+/** Part of the time for a stop after which calls that still run are left behind. */
+const DRAIN_PART = 0.8;
+/** Time for the last news of this daemon to leave, in milliseconds. */
+const FAREWELL_MS = 100;
+
 /** Addresses at which a daemon listens. */
 export interface DaemonAddresses {
   readonly calls: Address;
@@ -25,15 +32,14 @@
   readonly versions: CurrentVersion;
   readonly meter: SocketMeter;
   readonly registration: UpstreamRegistration;
+  readonly readiness: Readiness;
   readonly calls: CallHandler;
   readonly callListener: Listener;
   readonly tasks: readonly Task[];
   readonly resources: Disposable;
+  readonly clock: Clock;
   readonly logger: Logger;
-  /** Longest time to finish what is under way, in milliseconds. */
-  readonly drainMs: number;
-  /** Time for the news of the stop to spread, in milliseconds. */
-  readonly leaveMs: number;
+  readonly settings: SettingsHolder;
 }
 
 /** The running daemon. */
@@ -67,23 +73,35 @@
 
   /** Starts the tasks. */
   public start(): void {
+    this.parts.logger.log('Started.', { addresses: this.addresses });
     this.running = Promise.all(this.parts.tasks.map((task) => task(this.end.signal)));
   }
 
-  /** Tells peers and callers, finishes what is under way, then releases everything. */
+  /** Takes in the settings that may change while it runs. */
+  public reload(): void {
+    this.parts.settings.reload(this.parts.logger);
+  }
+
+  /**
+   * Tells peers and callers, finishes what is under way, then releases everything. Callers are
+   * served until they had time to go elsewhere; every answer from now on ends its connection.
+   */
   public async stop(): Promise<void> {
-    const { registration, calls, callListener, members, logger, drainMs, leaveMs } = this.parts;
-    logger.log('Drains.', { openCalls: calls.openCalls });
+    const { registration, readiness, calls, callListener, members, logger, clock } = this.parts;
+    const { drain: drainMs, leave: leaveMs } = this.parts.settings.current.daemon;
+    const deadline = clock.now() + DRAIN_PART * drainMs;
+    logger.log('Stops.', { openCalls: calls.openCalls });
+    readiness.stop();
+    calls.closeConnections();
     const drained = registration.drain();
-    // Peers hear of it before callers are turned away, so that few calls need a second attempt.
     await sleep(leaveMs);
-    const finished = calls.drain();
     callListener.stopAccepting();
     const late = new AbortController();
-    await Promise.race([Promise.all([drained, finished]), sleep(drainMs, late.signal)]);
+    const finished = Promise.all([drained, calls.whenIdle()]);
+    await Promise.race([finished, sleep(Math.max(0, deadline - clock.now()), late.signal)]);
     late.abort();
     members.updateSelf({ state: 'gone' });
-    await sleep(leaveMs);
+    await sleep(FAREWELL_MS);
     logger.log('Stopped.', { openCalls: calls.openCalls });
     this.dispose();
     await this.running;
--- a/src/process/DaemonMetrics.ts
+++ b/src/process/DaemonMetrics.ts
@@ -16,6 +16,7 @@
   readonly upstreamLoad: () => number;
   readonly controlBytesReceived: () => number;
   readonly controlBytesSent: () => number;
+  readonly logLinesLost: () => number;
   readonly logReads: () => number;
   readonly logFailures: () => number;
   readonly unknownSchema: () => number;
@@ -33,6 +34,7 @@
   upstreamLoad: ['upstream_load', 'Calls at the upstream here, in parts of its slots.'],
   controlBytesReceived: ['control_received_bytes', 'Bytes received from peers and the log.'],
   controlBytesSent: ['control_sent_bytes', 'Bytes sent to peers and the log.'],
+  logLinesLost: ['log_lines_lost', 'Log lines that were left out or had no reader.'],
   logReads: ['log_reads', 'Reads of the configuration stream.'],
   logFailures: ['log_failures', 'Reads of the configuration stream that failed.'],
   unknownSchema: [
--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -1,11 +1,9 @@
 import type { Clock, Offset } from '../common/Types';
-import type CheckpointWriter from '../connection/CheckpointWriter';
-import type LogTail from '../connection/LogTail';
 import type MemberTable from '../connection/MemberTable';
 import type Overlay from '../connection/Overlay';
 import type PeerHeadTracker from '../connection/PeerHeadTracker';
 import type SocketMeter from '../connection/SocketMeter';
-import type { MemberRecord } from '../connection/Types';
+import type { LogTailState, MemberRecord } from '../connection/Types';
 import type AttemptRegistry from '../request/AttemptRegistry';
 import type CallHandler from '../request/CallHandler';
 import isIdempotent from '../request/isIdempotent';
@@ -19,8 +17,9 @@
   readonly settings: Settings;
   readonly members: MemberTable;
   readonly heads: PeerHeadTracker;
-  readonly tail: LogTail;
-  readonly checkpoints: CheckpointWriter;
+  /** What reads the log. */
+  readonly tail: { readonly state: LogTailState };
+  readonly checkpointsWritten: () => number;
   readonly overlay: Overlay;
   readonly calls: CallHandler;
   readonly attempts: AttemptRegistry;
@@ -80,7 +79,7 @@
       uptimeMs: Math.round(parts.clock.now() - this.startedAt),
       settings: parts.settings,
       configuration: this.configuration(),
-      log: { ...parts.tail.state, checkpointsWritten: parts.checkpoints.count },
+      log: { ...parts.tail.state, checkpointsWritten: parts.checkpointsWritten() },
       members: parts.members.all(),
       links: parts.overlay.state,
       calls: { open: parts.calls.openCalls, rememberedAttempts: parts.attempts.size },
@@ -92,25 +91,29 @@
 
   /**
    * @param method - HTTP method.
+   * @param host - Host header; empty where only routes of every host matter.
    * @param path - Path, with or without the query.
    * @returns Which route matches, where it comes from and where calls would go.
    */
-  public explain(method: string, path: string): Explanation {
+  public explain(method: string, host: string, path: string): Explanation {
     const { heads, calls, members } = this.parts;
     const configuration = this.parts.configuration();
-    const resolution = calls.resolve(method, path);
-    const route = calls.match(method, path) ?? null;
-    const service = (route && configuration?.services.get(route.service)) ?? null;
-    const keys = [`route.${route?.name}`, `service.${service?.name}`];
+    const resolution = calls.resolve(method, host, path);
+    const route = calls.match(method, host, path) ?? null;
+    const targets = route?.targets.map(({ service }) => service) ?? [];
+    const services = targets.flatMap((name) => configuration?.services.get(name) ?? []);
+    const keys = [`route.${route?.name}`, ...targets.map((name) => `service.${name}`)];
     return {
       method,
+      host,
       path,
       version: heads.head?.version ?? null,
       route,
       files: configuration?.provenance.filter(({ key }) => keys.includes(key)) ?? [],
-      service,
+      service: services[0] ?? null,
+      services,
       idempotent: route && isIdempotent(route, method),
-      upstreams: service ? members.upstreams(service.name) : [],
+      upstreams: targets.flatMap((name) => members.upstreams(name)),
       refusal: resolution.kind === 'refused' ? resolution.refusal.reason : null,
     };
   }
@@ -121,8 +124,9 @@
     if (!configuration || !head) return null;
     const { members } = this.parts;
     const routes = [...configuration.routes.values()].map((route): RouteState => {
-      const inForce = members.upstreams(route.service).length > 0;
-      const reason = inForce ? null : `service ${route.service} has no upstream that serves`;
+      const absent = route.targets.find(({ service }) => members.upstreams(service).length === 0);
+      const inForce = absent === undefined;
+      const reason = inForce ? null : `service ${absent.service} has no upstream that serves`;
       return { ...route, inForce, reason };
     });
     return {
--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -41,6 +41,15 @@
     this.server.on('clientError', refuseMalformed);
   }
 
+  /**
+   * @param headerTimeoutMs - Longest time for a request's head to come in.
+   * @param idleTimeoutMs - How long a connection may stay idle between requests.
+   */
+  public setTimeouts(headerTimeoutMs: number, idleTimeoutMs: number): void {
+    this.server.headersTimeout = headerTimeoutMs;
+    this.server.keepAliveTimeout = idleTimeoutMs;
+  }
+
   /** @param handler - Answers every request from now on. */
   public handle(handler: RequestListener): void {
     this.handler = handler;
--- a/src/process/Types.ts
+++ b/src/process/Types.ts
@@ -3,10 +3,16 @@
  *
  * @packageDocumentation
  */
-import type { Address, DaemonId, Incarnation, ServiceName, ZoneName } from '../common/Types';
+import type {
+  Address,
+  DaemonId,
+  Incarnation,
+  InstanceId,
+  ServiceName,
+  ZoneName,
+} from '../common/Types';
 import type { LinkState } from '../connection/Overlay';
-import type { LogTailState } from '../connection/LogTail';
-import type { MemberRecord } from '../connection/Types';
+import type { LogTailState, MemberRecord } from '../connection/Types';
 import type { Provenance, Route, Service } from '../version/Types';
 
 /** Version in force on a daemon, as `status` shows it. */
@@ -48,6 +54,30 @@
   readonly memory: { readonly residentBytes: number; readonly heapBytes: number };
 }
 
+/** What the upstream beside a daemon says of itself, again and again. */
+export interface Announcement {
+  readonly service: ServiceName;
+  readonly address: Address;
+  readonly state: 'warming' | 'serving' | 'draining';
+  readonly healthy: boolean;
+  /** Calls that it runs at the same time; `undefined` leaves it to the service's declaration. */
+  readonly slots?: number;
+  /** Id of this start; `undefined` where upstreams tell none. */
+  readonly instance?: InstanceId;
+  /** Start in milliseconds since the epoch; tells starts of one id apart. */
+  readonly startedAt?: number;
+  /** Rises with each announcement of one start. */
+  readonly sequence?: number;
+  /** How much longer it is slow after its start, in milliseconds. */
+  readonly coldMs?: number;
+}
+
+/** A start of an upstream that leaves. */
+export interface Departure {
+  readonly instance: InstanceId;
+  readonly startedAt: number | undefined;
+}
+
 /** The upstream beside a daemon. */
 export interface UpstreamStatus {
   readonly service: ServiceName;
@@ -60,11 +90,14 @@
 /** What a caller of `explain` is told. */
 export interface Explanation {
   readonly method: string;
+  readonly host: string;
   readonly path: string;
   readonly version: number | null;
   readonly route: Route | null;
   readonly files: readonly Provenance[];
+  /** The only service of the route, or the first of its split. */
   readonly service: Service | null;
+  readonly services: readonly Service[];
   readonly idempotent: boolean | null;
   readonly upstreams: readonly unknown[];
   /** Why the call would be refused; null where it wouldn't. */
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -1,40 +1,59 @@
 import { Pool } from 'undici';
-import { z } from 'zod';
-import type { Address, Clock, Disposable, Logger, ServiceName } from '../common/Types';
+import type { Clock, Disposable, InstanceId, Logger } from '../common/Types';
 import type MemberTable from '../connection/MemberTable';
 import type { UpstreamState } from '../connection/Types';
 import type AttemptRegistry from '../request/AttemptRegistry';
-import LocalUpstream from '../request/LocalUpstream';
+import LocalUpstream, { type UpstreamLimits } from '../request/LocalUpstream';
 import type { LocalService } from '../request/PeerCallHandler';
+import type { HeaderNames } from '../request/Types';
 import type { CurrentVersion, Service } from '../version/Types';
-import type { UpstreamStatus } from './Types';
+import type { Announcement, Departure, UpstreamStatus } from './Types';
 
 const SWEEP_MS = 500;
-const CONNECT_TIMEOUT_MS = 1_000;
-const KEEP_ALIVE_MS = 60_000;
-
-/** What an upstream says of itself, again and again. */
-export const announcementSchema = z.strictObject({
-  service: z
-    .string()
-    .min(1)
-    .transform((value) => value as ServiceName),
-  address: z
-    .string()
-    .min(1)
-    .transform((value) => value as Address),
-  state: z.enum(['warming', 'serving', 'draining']),
-  healthy: z.boolean().default(true),
-});
-
-/** A validated announcement. */
-export type Announcement = z.output<typeof announcementSchema>;
+/** Longest wait for a connection on the same VM, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 500;
+/** Idle connections are closed after this, in ms, where the upstream announces no sooner time. */
+const KEEP_ALIVE_MS = 4_000;
+/** Calls that may wait for each slot that an upstream announced; their waits bound them sooner. */
+const QUEUE_PER_SLOT = 8;
+/** Starts of upstreams that left and are remembered, so that late news can't bring them back. */
+const DEPARTED_REMEMBERED = 64;
 
 interface Registered {
   announcement: Announcement;
   /** Present once the service is declared by the configuration in force. */
   upstream: LocalUpstream | undefined;
   renewedAt: number;
+  /** Set while it takes no connection. */
+  unreachable: boolean;
+}
+
+/** What the registration uses of its daemon. */
+export interface RegistrationServices {
+  /** Tells other daemons. */
+  readonly members: MemberTable;
+  /** Declares the service and its limits. */
+  readonly versions: CurrentVersion;
+  /** Judges attempts. */
+  readonly attempts: AttemptRegistry;
+  readonly names: HeaderNames;
+  /** How long an announcement holds, in milliseconds. */
+  readonly leaseMs: number;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Whether `a` tells of an earlier start than `b`, or earlier than `b` within one start. */
+function isOutdated(a: Announcement, b: Announcement): boolean {
+  if (a.instance === undefined || b.instance === undefined) return false;
+  const aStart = a.startedAt ?? 0;
+  const bStart = b.startedAt ?? 0;
+  if (aStart !== bStart) return aStart < bStart;
+  return a.instance === b.instance && (a.sequence ?? 0) <= (b.sequence ?? 0);
+}
+
+function startKey({ instance, startedAt }: Departure): string {
+  return `${instance} ${startedAt ?? ''}`;
 }
 
 /** Keeps the upstream beside this daemon while it renews its lease, and tells the members of it. */
@@ -43,29 +62,17 @@
 
   private retired: LocalUpstream[] = [];
 
+  private readonly departed = new Set<string>();
+
   private stopping = false;
 
   private readonly sweeper: NodeJS.Timeout;
 
   private readonly subscription: Disposable;
 
-  /**
-   * @param members - Tells other daemons.
-   * @param versions - Declares the service and its limits.
-   * @param attempts - Judges attempts.
-   * @param leaseMs - How long an announcement holds.
-   * @param clock - Source of time.
-   * @param logger - Log of this part.
-   */
-  public constructor(
-    private readonly members: MemberTable,
-    private readonly versions: CurrentVersion,
-    private readonly attempts: AttemptRegistry,
-    private readonly leaseMs: number,
-    private readonly clock: Clock,
-    private readonly logger: Logger,
-  ) {
-    this.subscription = versions.onSwap(() => this.refresh());
+  /** @param services - What it uses. */
+  public constructor(private readonly services: RegistrationServices) {
+    this.subscription = services.versions.onSwap(() => this.refresh());
     this.sweeper = setInterval(() => this.expire(), SWEEP_MS);
     this.sweeper.unref();
   }
@@ -93,28 +100,53 @@
   }
 
   /**
-   * Renews the lease of the upstream.
+   * Renews the lease of the upstream. News that is older than what is known changes nothing.
    *
    * @param announcement - What the upstream says.
-   * @returns Resolves at once, but for an upstream that drains only once nothing is under way at it,
-   * so that it can end safely.
    */
-  public async announce(announcement: Announcement): Promise<void> {
+  public announce(announcement: Announcement): void {
     const before = this.registered?.announcement;
-    const restarted = before?.state === 'draining' && announcement.state !== 'draining';
-    if (restarted || before?.address !== announcement.address) this.retire();
+    if (before && isOutdated(announcement, before)) return;
+    const { instance, startedAt } = announcement;
+    if (instance !== undefined && this.departed.has(startKey({ instance, startedAt }))) return;
+    if (before && UpstreamRegistration.isAnother(announcement, before)) this.retire();
+    if (before?.state !== announcement.state || before?.instance !== instance) {
+      this.logAnnouncement(announcement);
+    }
     if (this.registered) {
       this.registered.announcement = announcement;
-      this.registered.renewedAt = this.clock.now();
+      this.registered.renewedAt = this.services.clock.now();
+      this.registered.unreachable = false;
     } else {
-      this.registered = { announcement, upstream: undefined, renewedAt: this.clock.now() };
-      this.logger.log('An upstream announced itself.', {
-        service: announcement.service,
-        address: announcement.address,
-      });
+      const renewedAt = this.services.clock.now();
+      this.registered = { announcement, upstream: undefined, renewedAt, unreachable: false };
     }
     this.refresh();
-    if (announcement.state === 'draining') await this.registered.upstream?.drain();
+    if (announcement.state === 'draining') void this.registered.upstream?.drain();
+  }
+
+  /** @param departure - The start of an upstream that leaves; nothing of it counts from now on. */
+  public depart(departure: Departure): void {
+    this.departed.add(startKey(departure));
+    for (const key of this.departed) {
+      if (this.departed.size <= DEPARTED_REMEMBERED) break;
+      this.departed.delete(key);
+    }
+    const { announcement } = this.registered ?? {};
+    const isKnown =
+      announcement?.instance === departure.instance &&
+      (departure.startedAt === undefined || announcement.startedAt === departure.startedAt);
+    this.services.logger.log('An upstream leaves.', { ...departure, known: isKnown });
+    if (!isKnown) return;
+    if (announcement.startedAt !== undefined)
+      this.departed.add(startKey(announcement as Departure));
+    this.retire();
+    this.publish();
+  }
+
+  /** Resolves once nothing is under way at an upstream that drains, so that it can end safely. */
+  public async whenDrained(): Promise<void> {
+    await this.registered?.upstream?.drain();
   }
 
   /** Takes no new work from now on; resolves once what runs has ended. */
@@ -132,32 +164,72 @@
     for (const upstream of this.retired) upstream.dispose();
   }
 
+  private logAnnouncement({ service, address, state, instance, slots }: Announcement): void {
+    this.services.logger.log('An upstream announced itself.', {
+      service,
+      address,
+      state,
+      instance,
+      slots,
+    });
+  }
+
   /** Brings the upstream's limits in line with the configuration in force. */
   private refresh(): void {
     const { registered } = this;
     if (!registered) return;
-    const { service, address } = registered.announcement;
-    const declared = this.versions.snapshot?.configuration.services.get(service);
-    if (declared && registered.upstream) registered.upstream.setLimits(declared);
-    if (declared && !registered.upstream) registered.upstream = this.connect(declared, address);
+    const { announcement } = registered;
+    const declared = this.services.versions.snapshot?.configuration.services.get(
+      announcement.service,
+    );
+    if (declared) {
+      const limits = UpstreamRegistration.limitsOf(declared, announcement);
+      if (registered.upstream) registered.upstream.setLimits(limits);
+      else registered.upstream = this.connect(declared, limits, registered);
+      registered.upstream.instance = announcement.instance;
+    }
     this.publish();
   }
 
-  private connect(service: Service, address: Address): LocalUpstream {
-    const pool = new Pool(`http://${address}`, {
-      connections: service.connections,
-      pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_MS,
+  private connect(service: Service, limits: UpstreamLimits, registered: Registered): LocalUpstream {
+    const { address } = registered.announcement;
+    const { attempts, names, clock, logger } = this.services;
+    return new LocalUpstream(limits, address, {
+      openPool: () =>
+        new Pool(`http://${address}`, {
+          connections: service.connections,
+          pipelining: 1,
+          connectTimeout: CONNECT_TIMEOUT_MS,
+          keepAliveTimeout: KEEP_ALIVE_MS,
+        }),
+      registry: attempts,
+      names,
+      clock,
+      logger,
+      onUnreachable: () => this.noteUnreachable(registered.announcement.instance),
     });
-    return new LocalUpstream(service, address, pool, this.attempts, this.clock);
+  }
+
+  /** An upstream that takes no connection is offered again once it announces itself. */
+  private noteUnreachable(instance: InstanceId | undefined): void {
+    const { registered } = this;
+    if (!registered || registered.unreachable) return;
+    if (registered.announcement.instance !== instance) return;
+    registered.unreachable = true;
+    this.services.logger.log('The upstream takes no connection.', {
+      service: registered.announcement.service,
+      instance: registered.announcement.instance,
+    });
+    this.publish();
   }
 
   private expire(): void {
     const { registered } = this;
-    if (!registered || this.clock.now() - registered.renewedAt <= this.leaseMs) return;
-    this.logger.log('The lease of the upstream lapsed.', {
+    const { clock, leaseMs, logger } = this.services;
+    if (!registered || clock.now() - registered.renewedAt <= leaseMs) return;
+    logger.log('The lease of the upstream lapsed.', {
       service: registered.announcement.service,
+      instance: registered.announcement.instance,
     });
     this.retire();
     this.publish();
@@ -176,20 +248,49 @@
   }
 
   private publish(): void {
-    const { self } = this.members;
-    const { service, state, healthy } = this.registered?.announcement ?? {
-      service: null,
-      state: 'none' as const,
-      healthy: true,
+    const { self } = this.services.members;
+    const shown = this.shown();
+    const isSame =
+      self.service === shown.service &&
+      self.state === shown.state &&
+      self.healthHint === shown.healthHint &&
+      self.slots === shown.slots;
+    if (!isSame) this.services.members.updateSelf(shown);
+  }
+
+  private shown() {
+    if (!this.registered) {
+      return { service: null, state: 'none' as const, healthHint: true, slots: null };
+    }
+    const { service, state, healthy, slots } = this.registered.announcement;
+    return {
+      service,
+      state: this.shownState(this.registered, state),
+      healthHint: healthy,
+      slots: slots ?? null,
     };
-    const shown = this.shownState(state);
-    if (self.service === service && self.state === shown && self.healthHint === healthy) return;
-    this.members.updateSelf({ service, state: shown, healthHint: healthy });
   }
 
   /** A service that no configuration declares here yet isn't offered to other daemons. */
-  private shownState(state: UpstreamState): UpstreamState {
+  private shownState({ upstream, unreachable }: Registered, state: UpstreamState): UpstreamState {
     if (this.stopping && state !== 'none') return 'draining';
-    return state === 'serving' && !this.registered?.upstream ? 'warming' : state;
+    return state === 'serving' && (!upstream || unreachable) ? 'warming' : state;
+  }
+
+  private static limitsOf(service: Service, { slots }: Announcement): UpstreamLimits {
+    if (slots === undefined) return service;
+    return { slots, queue: QUEUE_PER_SLOT * slots, warmUpMs: service.warmUpMs };
+  }
+
+  /** Whether an announcement is of another start, or of one that drained and came back. */
+  private static isAnother(now: Announcement, before: Announcement): boolean {
+    const cameBack = before.state === 'draining' && now.state !== 'draining';
+    return (
+      cameBack ||
+      before.address !== now.address ||
+      before.service !== now.service ||
+      before.instance !== now.instance ||
+      before.startedAt !== now.startedAt
+    );
   }
 }
--- /dev/null
+++ b/src/process/announcementSchema.ts
@@ -0,0 +1,20 @@
+import { z } from 'zod';
+import type { Address, ServiceName } from '../common/Types';
+import type { Announcement } from './Types';
+
+/** What an upstream says of itself at the control address. */
+const announcementSchema: z.ZodType<Announcement> = z.strictObject({
+  service: z
+    .string()
+    .min(1)
+    .transform((value) => value as ServiceName),
+  address: z
+    .string()
+    .min(1)
+    .transform((value) => value as Address),
+  state: z.enum(['warming', 'serving', 'draining']),
+  healthy: z.boolean().default(true),
+  slots: z.int().min(1).optional(),
+});
+
+export default announcementSchema;
--- a/src/process/listeners.ts
+++ b/src/process/listeners.ts
@@ -14,6 +14,10 @@
   readonly calls: Listener;
   readonly peers: Listener;
   readonly control: Listener;
+  /** Where the platform asks whether callers may come, if it does. */
+  readonly ready: Listener | undefined;
+  /** Where the upstream on this VM announces itself, if it isn't the control address. */
+  readonly announcements: Listener | undefined;
 }
 
 /**
@@ -31,6 +35,8 @@
     calls: new Listener(limits),
     peers: new Listener({ ...limits, maxHeaderSize: 2 * settings.calls.max_header_bytes }),
     control: new Listener(),
+    ready: settings.daemon.ready && new Listener(),
+    announcements: settings.upstream.announcements && new Listener(),
   };
 }
 
@@ -44,6 +50,10 @@
   listeners: Listeners,
   settings: Settings,
 ): Promise<DaemonAddresses> {
+  if (settings.daemon.ready) await listeners.ready?.listen(settings.daemon.ready);
+  if (settings.upstream.announcements) {
+    await listeners.announcements?.listen(settings.upstream.announcements);
+  }
   return {
     calls: await listeners.calls.listen(settings.daemon.calls),
     peers: await listeners.peers.listen(settings.daemon.peers),
--- a/src/process/serveOperators.ts
+++ b/src/process/serveOperators.ts
@@ -2,9 +2,9 @@
 import { json } from 'node:stream/consumers';
 import polka from 'polka';
 import type Inspection from './Inspection';
+import announcementSchema from './announcementSchema';
 import type DaemonMetrics from './DaemonMetrics';
 import type Listener from './Listener';
-import { announcementSchema } from './UpstreamRegistration';
 import type UpstreamRegistration from './UpstreamRegistration';
 
 /** What the control address shows and takes. */
@@ -30,7 +30,8 @@
     reply(response, 400, { error: `${issue!.path.join('.')}: ${issue!.message}` });
     return;
   }
-  await registration.announce(result.data);
+  registration.announce(result.data);
+  if (result.data.state === 'draining') await registration.whenDrained();
   reply(response, 200, { renewed: true });
 }
 
@@ -50,8 +51,8 @@
   app.get('/folder', (_request, response) => reply(response, 200, inspection.head()));
   app.get('/dump', (_request, response) => reply(response, 200, inspection.dump()));
   app.get('/explain', (request, response) => {
-    const { method = 'GET', path = '/' } = request.query as Record<string, string>;
-    reply(response, 200, inspection.explain(method, path));
+    const { method = 'GET', host = '', path = '/' } = request.query as Record<string, string>;
+    reply(response, 200, inspection.explain(method, host, path));
   });
   app.get('/metrics', async (_request, response) => {
     response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
--- a/src/process/servePeers.ts
+++ b/src/process/servePeers.ts
@@ -3,7 +3,7 @@
 import { WebSocketServer } from 'ws';
 import type { Disposable } from '../common/Types';
 import messageEncoder from '../connection/messageEncoder';
-import PEER_PATH from '../connection/peerPath';
+import PEER_PATH, { ALIVE_PATH } from '../connection/peerPath';
 import type { PeerRouter } from '../connection/peerRouter';
 import type SocketMeter from '../connection/SocketMeter';
 import type PeerCallHandler from '../request/PeerCallHandler';
@@ -28,7 +28,10 @@
 ): Disposable {
   const procedures = createHTTPHandler({ router, basePath: `${PEER_PATH}/` });
   listener.handle((message, response) => {
-    if (message.url?.startsWith(`${PEER_PATH}/`)) {
+    if (message.url === ALIVE_PATH) {
+      response.writeHead(204);
+      response.end();
+    } else if (message.url?.startsWith(`${PEER_PATH}/`)) {
       meter.track(message.socket);
       procedures(message, response);
     } else {
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -7,13 +7,14 @@
 import { parse, TomlError } from 'smol-toml';
 import { z } from 'zod';
 import { DURATION_EXPECTED, parseDuration } from '../common/parseDuration';
-import type { Address, DaemonId, FileName, ZoneName } from '../common/Types';
+import type { Address, DaemonId, FileName, ServiceName, ZoneName } from '../common/Types';
 import { formatFault, schemaFaults } from '../version/faults';
 import SettingsError from './SettingsError';
 
 const ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/;
 const ADDRESS_EXPECTED = 'an IP number and a port, such as "10.0.0.7:7000"';
 const MEBIBYTE = 1024 * 1024;
+const RATIO_EXPECTED = 'a number from 0 to 1';
 
 const address = z
   .string({ error: ADDRESS_EXPECTED })
@@ -41,11 +42,14 @@
     peers: address,
     control: address,
     advertise: address.optional(),
+    ready: address.optional(),
+    service: name.transform((value) => value as ServiceName).optional(),
     drain: duration('30s'),
     leave: duration('500ms'),
   }),
   log: z.strictObject({
     address,
+    kind: z.enum(['streams', 'platform'], { error: '"streams" or "platform"' }).default('streams'),
     stream_prefix: z.string().default(''),
     retention: duration('24h'),
     readers_per_zone: count(1, 100, 2),
@@ -60,20 +64,36 @@
       cut: duration('2h'),
     })
     .prefault({}),
-  upstream: z.strictObject({ lease: duration('10s') }).prefault({}),
+  upstream: z
+    .strictObject({ lease: duration('10s'), announcements: address.optional() })
+    .prefault({}),
+  retries: z
+    .strictObject({
+      window: duration('10s'),
+      slack: count(0, 1_000_000, 20),
+      shared: z.boolean({ error: 'true or false' }).default(false),
+      ratio: z
+        .number({ error: RATIO_EXPECTED })
+        .min(0, { error: RATIO_EXPECTED })
+        .max(1, { error: RATIO_EXPECTED })
+        .optional(),
+    })
+    .prefault({}),
   calls: z
     .strictObject({
       max_body_bytes: count(1, 256 * MEBIBYTE, MEBIBYTE),
       max_header_bytes: count(1024, MEBIBYTE, 16 * 1024),
       max_open: count(1, 1_000_000, 2_000),
       peer_connections: count(1, 1_000, 128),
+      connect: duration('1s'),
+      quiet: duration('300ms'),
       silence: duration('1s'),
       receive: duration('30s'),
     })
     .prefault({}),
   logging: z
     .strictObject({
-      format: z.enum(['text', 'json'], { error: '"text" or "json"' }).default('text'),
+      lines_per_second: count(1, 100_000, 100),
     })
     .prefault({}),
 });
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -5,43 +5,51 @@
  */
 import PQueue from 'p-queue';
 import polka from 'polka';
+import createHeartbeatApp from '../../platform/heartbeats';
+import PLATFORM_HEADERS from '../../platform/headers';
+import PlatformStore from '../../platform/PlatformStore';
 import ResourceStore from '../common/ResourceStore';
 import SeededRandom from '../common/SeededRandom';
 import SystemClock from '../common/SystemClock';
 import type { AttemptNumber, Incarnation } from '../common/Types';
 import CheckpointWriter from '../connection/CheckpointWriter';
+import ConfigurationWatch from '../connection/ConfigurationWatch';
 import createFence from '../connection/createFence';
 import FetchSlot from '../connection/FetchSlot';
 import Gossip from '../connection/Gossip';
 import HttpLog from '../connection/HttpLog';
 import Joiner from '../connection/Joiner';
+import LogContacts from '../connection/LogContacts';
 import LogTail from '../connection/LogTail';
 import MemberTable from '../connection/MemberTable';
 import Overlay from '../connection/Overlay';
 import PeerAsker from '../connection/PeerAsker';
 import PeerHeadTracker from '../connection/PeerHeadTracker';
 import { createPeerRouter } from '../connection/peerRouter';
+import probeDaemon from '../connection/probeDaemon';
 import SocketMeter from '../connection/SocketMeter';
-import type { MemberRecord } from '../connection/Types';
+import type { ContactStore, LogTailState, MemberRecord } from '../connection/Types';
 import AttemptRegistry, { DEFAULT_REGISTRY_OPTIONS } from '../request/AttemptRegistry';
-import type { CallServices } from '../request/Call';
 import CallHandler from '../request/CallHandler';
+import ForecastBalancer from '../request/ForecastBalancer';
+import OWN_HEADER_NAMES from '../request/headerNames';
 import PeerCallHandler from '../request/PeerCallHandler';
+import PeerLiveness from '../request/PeerLiveness';
 import PeerPools from '../request/PeerPools';
 import PeerTransport from '../request/PeerTransport';
 import RoutingTransport from '../request/RoutingTransport';
-import TwoChoiceBalancer from '../request/TwoChoiceBalancer';
 import { mergeFolder } from '../version/mergeFolder';
 import VersionStore from '../version/VersionStore';
 import Daemon, { type DaemonAddresses, type Task } from './Daemon';
 import DaemonMetrics from './DaemonMetrics';
-import DebugLogger from './DebugLogger';
 import Inspection from './Inspection';
 import type Listener from './Listener';
-import { bindListeners, createListeners } from './listeners';
+import { bindListeners, createListeners, type Listeners } from './listeners';
+import LogWriter from './LogWriter';
+import Readiness from './Readiness';
 import serveOperators from './serveOperators';
 import servePeers from './servePeers';
-import type { Settings } from './settings';
+import type SettingsHolder from './SettingsHolder';
 import UpstreamRegistration from './UpstreamRegistration';
 
 const ADMITTED_AT_ONCE = 8;
@@ -51,26 +59,37 @@
 const MAX_RANK_DELAY_MS = 10_000;
 const SWEEP_MS = 60_000;
 const MS_PER_SECOND = 1_000;
+/** First incarnations are drawn below this; a peer that knows a higher one makes it rise. */
+const FIRST_INCARNATIONS = 2 ** 20;
 
 /** What every part is built from. */
-function wireCore(settings: Settings) {
+function wireCore(holder: SettingsHolder) {
+  const settings = holder.current;
+  const resources = new ResourceStore();
+  const clock = new SystemClock();
+  const log = resources.add(
+    new LogWriter(settings.daemon.name, settings.logging.lines_per_second, clock),
+  );
   return {
+    holder,
     settings,
-    resources: new ResourceStore(),
-    clock: new SystemClock(),
+    resources,
+    clock,
     random: new SeededRandom(),
     meter: new SocketMeter(),
-    logger: (part: string) => new DebugLogger(part, settings.logging.format),
+    log,
+    logger: (part: string) => log.logger(part),
+    names: settings.log.kind === 'platform' ? PLATFORM_HEADERS : OWN_HEADER_NAMES,
   };
 }
 
 type Core = ReturnType<typeof wireCore>;
 
-function wireMembers({ settings, resources, clock }: Core, addresses: DaemonAddresses) {
+function wireMembers({ settings, resources, clock, random }: Core, addresses: DaemonAddresses) {
   const { daemon: own, peers } = settings;
   const record: MemberRecord = {
     id: own.name,
-    incarnation: clock.wallTime() as Incarnation,
+    incarnation: (1 + random.below(FIRST_INCARNATIONS)) as Incarnation,
     sequence: 0,
     zone: own.zone,
     address: own.advertise ?? addresses.peers,
@@ -78,6 +97,8 @@
     service: null,
     state: 'none',
     healthHint: true,
+    slots: null,
+    readsLog: true,
     health: 'alive',
   };
   const periods = {
@@ -88,8 +109,19 @@
   return resources.add(new MemberTable(record, periods, clock));
 }
 
-/** The configuration in force, and what keeps it current. */
-function wireConfiguration(core: Core, members: MemberTable) {
+/** What reads the configuration, and where contacts are kept. */
+interface Source {
+  readonly tail: { readonly state: LogTailState };
+  readonly contacts: ContactStore;
+  /** Time after which contacts are written anew, in milliseconds. */
+  readonly refreshMs: number;
+  readonly checkpointsWritten: () => number;
+  readonly hasRead: () => boolean;
+  readonly tasks: readonly Task[];
+}
+
+/** Reads the product's own stream of publications. */
+function wireStreams(core: Core, members: MemberTable, heads: PeerHeadTracker): Source {
   const { settings, resources, clock, random, meter, logger } = core;
   const {
     address,
@@ -98,8 +130,6 @@
     readers_per_zone: readers,
     stale,
   } = settings.log;
-  const versions = resources.add(new VersionStore(mergeFolder));
-  const heads = resources.add(new PeerHeadTracker(versions, clock));
   const log = resources.add(new HttpLog(address, prefix, meter));
   const reading = { readersPerZone: readers, staleMs: stale };
   const tail = resources.add(
@@ -114,13 +144,55 @@
   const checkpoints = resources.add(
     new CheckpointWriter(log, tail, heads, members, due, clock, random, logger('checkpoint')),
   );
-  return { versions, heads, log, tail, checkpoints };
+  return {
+    tail,
+    contacts: new LogContacts(log, logger('join')),
+    refreshMs: retention / JOINS_PER_RETENTION,
+    checkpointsWritten: () => checkpoints.count,
+    hasRead: () => tail.state.anchored,
+    tasks: [(signal) => tail.run(signal), (signal) => checkpoints.run(signal)],
+  };
+}
+
+/** Reads the whole configurations that the platform's store keeps. */
+function wirePlatform(core: Core, members: MemberTable, heads: PeerHeadTracker): Source {
+  const { settings, resources, clock, random, meter, logger } = core;
+  const { address, retention, readers_per_zone: readersPerZone, stale: staleMs } = settings.log;
+  const store = resources.add(new PlatformStore(address, meter, logger('store')));
+  const watch = resources.add(
+    new ConfigurationWatch(
+      store,
+      heads,
+      members,
+      { readersPerZone, staleMs },
+      clock,
+      random,
+      logger('store'),
+    ),
+  );
+  return {
+    tail: watch,
+    contacts: store,
+    refreshMs: retention / JOINS_PER_RETENTION,
+    checkpointsWritten: () => 0,
+    hasRead: () => watch.hasRead,
+    tasks: [(signal) => watch.run(signal)],
+  };
+}
+
+/** The configuration in force, and what keeps it current. */
+function wireConfiguration(core: Core, members: MemberTable) {
+  const { settings, resources, clock } = core;
+  const versions = resources.add(new VersionStore(mergeFolder));
+  const heads = resources.add(new PeerHeadTracker(versions, clock));
+  const wireSource = settings.log.kind === 'platform' ? wirePlatform : wireStreams;
+  return { versions, heads, source: wireSource(core, members, heads) };
 }
 
 type ConfigurationParts = ReturnType<typeof wireConfiguration>;
 
 /** The links to other daemons, and how the first ones are found. */
-function wirePeers(core: Core, members: MemberTable, { heads, log }: ConfigurationParts) {
+function wirePeers(core: Core, members: MemberTable, { heads, source }: ConfigurationParts) {
   const { settings, resources, clock, random, meter, logger } = core;
   const gossip = resources.add(new Gossip(members, heads, clock));
   const fetchSlot = new FetchSlot(clock);
@@ -129,11 +201,11 @@
   const services = { members, heads, gossip, fetchSlot, meter, logger: logger('peer'), beatMs };
   const overlay = resources.add(new Overlay(services, asker, clock, random));
   const joining = {
-    seeds: settings.peers.seeds,
-    refreshMs: settings.log.retention / JOINS_PER_RETENTION,
+    seeds: () => core.holder.current.peers.seeds,
+    refreshMs: source.refreshMs,
   };
   const joiner = resources.add(
-    new Joiner(log, members, overlay, joining, clock, random, logger('join')),
+    new Joiner(source.contacts, members, overlay, joining, clock, random, logger('join')),
   );
   return { gossip, fetchSlot, asker, overlay, joiner };
 }
@@ -147,14 +219,25 @@
   { versions }: ConfigurationParts,
   { asker }: PeerParts,
 ) {
-  const { settings, resources, clock, random, logger } = core;
+  const { settings, resources, clock, random, names, logger } = core;
   const attempts = new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock);
-  const { lease } = settings.upstream;
   const registration = resources.add(
-    new UpstreamRegistration(members, versions, attempts, lease, clock, logger('upstream')),
+    new UpstreamRegistration({
+      members,
+      versions,
+      attempts,
+      names,
+      leaseMs: settings.upstream.lease,
+      clock,
+      logger: logger('upstream'),
+    }),
+  );
+  const { calls } = settings;
+  const liveness = resources.add(
+    new PeerLiveness(probeDaemon, { silenceMs: calls.quiet }, clock, logger('peer')),
   );
-  const balancer = new TwoChoiceBalancer(members, settings.daemon.zone, clock, random);
-  const pools = resources.add(new PeerPools(settings.calls.peer_connections, clock));
+  const balancer = new ForecastBalancer(members, liveness, settings.daemon.zone, clock, random);
+  const pools = resources.add(new PeerPools(calls.peer_connections, calls.connect, clock));
   const sweeper = setInterval(() => {
     balancer.sweep();
     pools.sweep();
@@ -163,7 +246,7 @@
   const transport = new RoutingTransport(
     settings.daemon.name,
     () => registration.local?.upstream,
-    new PeerTransport(pools, createFence(asker), settings.calls.silence, clock),
+    new PeerTransport(pools, createFence(asker), liveness, calls.silence, clock),
   );
   return { attempts, registration, balancer, transport };
 }
@@ -171,9 +254,9 @@
 type UpstreamParts = ReturnType<typeof wireUpstreams>;
 
 function wireMetrics(
-  { clock, meter }: Core,
+  { clock, meter, log }: Core,
   members: MemberTable,
-  { heads, tail }: ConfigurationParts,
+  { heads, source: { tail } }: ConfigurationParts,
   { overlay }: PeerParts,
   { registration }: UpstreamParts,
 ) {
@@ -189,6 +272,7 @@
     upstreamLoad: () => registration.load,
     controlBytesReceived: () => meter.bytes.received,
     controlBytesSent: () => meter.bytes.sent,
+    logLinesLost: () => log.lost,
     logReads: () => tail.state.reads,
     logFailures: () => tail.state.failures,
     unknownSchema: () => (tail.state.unknownSchema === undefined ? 0 : 1),
@@ -197,56 +281,101 @@
 
 /** What answers callers. */
 function wireCalls(
-  { settings, clock }: Core,
+  { holder, settings, clock, random, names, logger }: Core,
   members: MemberTable,
   versions: VersionStore,
   { balancer, transport }: UpstreamParts,
   metrics: DaemonMetrics,
+  readiness: Readiness,
 ) {
+  const { daemon: own, calls } = settings;
+  const retries = () => holder.current.retries;
   let attemptNumber = 0;
-  const services: CallServices = {
+  return new CallHandler({
+    versions,
+    directory: members,
     balancer,
     transport,
     clock,
-    daemon: settings.daemon.name,
+    random,
+    names,
+    logger: logger('call'),
+    daemon: own.name,
+    callerService: own.service,
     incarnation: () => members.self.incarnation,
     nextAttempt: () => {
       attemptNumber += 1;
       return attemptNumber as AttemptNumber;
     },
+    limits: { maxBodyBytes: calls.max_body_bytes, maxOpenCalls: calls.max_open },
+    allowance: {
+      windowMs: () => retries().window,
+      slack: () => retries().slack / (retries().shared ? members.live().length : 1),
+      maxShare: () => retries().ratio ?? 1,
+    },
     onAttempt: metrics.onAttempt,
-  };
-  const limits = {
-    maxBodyBytes: settings.calls.max_body_bytes,
-    maxOpenCalls: settings.calls.max_open,
-  };
-  return new CallHandler(versions, members, services, limits, metrics.onCall);
+    report: metrics.onCall,
+    isCurrent: () => readiness.isCurrent,
+  });
+}
+
+/** Brings the listener for callers in line with each version's limits. */
+function followLimits(versions: VersionStore, listener: Listener): void {
+  versions.onSwap(({ configuration: { limits } }) => {
+    if (limits) listener.setTimeouts(limits.headerTimeoutMs, limits.idleTimeoutMs);
+  });
+}
+
+/** What the platform asks, and where the upstream on this VM announces itself. */
+function servePlatform(
+  { logger }: Core,
+  { ready, announcements }: Listeners,
+  readiness: Readiness,
+  registration: UpstreamRegistration,
+): void {
+  ready?.handle((_request, response) => {
+    response.writeHead(readiness.isReady ? 200 : 503);
+    response.end();
+  });
+  announcements?.handle(createHeartbeatApp(registration, logger('upstream')));
 }
 
 /**
  * Binds the addresses and builds every part.
  *
- * @param settings - Validated settings.
+ * @param holder - Validated settings.
  * @returns The daemon, listening but with its tasks not started.
  * @throws When an address can't be bound.
  */
-export default async function wireDaemon(settings: Settings): Promise<Daemon> {
-  const core = wireCore(settings);
-  const { resources, clock, meter } = core;
+export default async function wireDaemon(holder: SettingsHolder): Promise<Daemon> {
+  const core = wireCore(holder);
+  const { settings, resources, clock, meter, names, logger } = core;
   const listeners = createListeners(settings);
   const addresses = await bindListeners(listeners, settings);
-  for (const listener of Object.values(listeners) as Listener[]) resources.add(listener);
+  for (const listener of Object.values(listeners) as (Listener | undefined)[]) {
+    if (listener) resources.add(listener);
+  }
 
   const members = wireMembers(core, addresses);
   const configuration = wireConfiguration(core, members);
   const peers = wirePeers(core, members, configuration);
   const upstreams = wireUpstreams(core, members, configuration, peers);
   const metrics = wireMetrics(core, members, configuration, peers, upstreams);
-  const { versions, heads, tail, checkpoints } = configuration;
+  const { versions, heads, source } = configuration;
   const { gossip, fetchSlot, asker, overlay, joiner } = peers;
   const { attempts, registration } = upstreams;
-  const calls = wireCalls(core, members, versions, upstreams, metrics);
+  const readiness = new Readiness(
+    {
+      hasConfiguration: () => versions.snapshot !== undefined,
+      hasReadStore: source.hasRead,
+      hasPeer: () => overlay.state.some(({ up }) => up),
+    },
+    clock,
+  );
+  const calls = wireCalls(core, members, versions, upstreams, metrics, readiness);
   metrics.watchOpenCalls(() => calls.openCalls);
+  followLimits(versions, listeners.calls);
+  servePlatform(core, listeners, readiness, registration);
 
   const router = createPeerRouter({
     members,
@@ -257,12 +386,16 @@
     fence: (attempt, giveUp) => attempts.fence(attempt, giveUp),
     reach: (id, address) => asker.reach(id, address),
   });
-  const peerCalls = new PeerCallHandler(
-    () => registration.local,
-    () => members.self.incarnation,
-    settings.calls.max_body_bytes,
+  const maxBodyBytes = () =>
+    versions.snapshot?.configuration.limits?.maxBodyBytes ?? settings.calls.max_body_bytes;
+  const peerCalls = new PeerCallHandler({
+    local: () => registration.local,
+    incarnation: () => members.self.incarnation,
+    maxBodyBytes,
+    names,
     clock,
-  );
+    logger: logger('upstream'),
+  });
   resources.add(servePeers(listeners.peers, router, peerCalls, meter));
   const app = polka({ onNoMatch: (message, response) => void calls.handle(message, response) });
   listeners.calls.handle(app.handler as never);
@@ -270,8 +403,8 @@
     settings,
     members,
     heads,
-    tail,
-    checkpoints,
+    tail: source.tail,
+    checkpointsWritten: source.checkpointsWritten,
     overlay,
     calls,
     attempts,
@@ -282,25 +415,24 @@
   });
   serveOperators(listeners.control, { inspection, metrics, registration });
 
-  const tasks: Task[] = [
-    (signal) => tail.run(signal),
-    (signal) => checkpoints.run(signal),
-    (signal) => overlay.run(signal),
-    (signal) => overlay.heal(signal),
-    (signal) => joiner.run(signal),
-  ];
   return new Daemon({
     addresses,
     members,
     versions,
     meter,
     registration,
+    readiness,
     calls,
     callListener: listeners.calls,
-    tasks,
+    tasks: [
+      ...source.tasks,
+      (signal) => overlay.run(signal),
+      (signal) => overlay.heal(signal),
+      (signal) => joiner.run(signal),
+    ],
     resources,
-    logger: core.logger('daemon'),
-    drainMs: settings.daemon.drain,
-    leaveMs: settings.daemon.leave,
+    clock,
+    logger: logger('daemon'),
+    settings: holder,
   });
 }
--- a/src/request/Admission.ts
+++ b/src/request/Admission.ts
@@ -1,108 +1,312 @@
-import PQueue from 'p-queue';
-import type { Clock } from '../common/Types';
+import type { Clock, RouteName } from '../common/Types';
 import type { Priority, Service } from '../version/Types';
 import NotRunError from './NotRunError';
+import ServiceTimes from './ServiceTimes';
 
-const LATENCY_WEIGHT = 0.1;
+/** Share of its slots that a cold upstream starts with. */
 const COLD_SHARE = 0.25;
-const PRIORITIES: Readonly<Record<Priority, number>> = { interactive: 1, background: 0 };
+/** A call that has run this many times its expected duration no longer blocks its slot. */
+const OVERDUE_FACTOR = 5;
+/** Shortest run, in milliseconds, after which a call counts as overdue. */
+const MIN_OVERDUE_MS = 800;
+/** A late call gives up its place after this many times the wait that it was promised. */
+const LATE_PATIENCE = 2;
+/** Shortest time, in milliseconds, that a late call keeps its place. */
+const MIN_LATE_PATIENCE_MS = 100;
+/** Time, in milliseconds, that a call keeps its place after it could last have been in time. */
+const OVERTAKEN_PATIENCE_MS = 250;
+/** Longest wait, in milliseconds, that a call which can't meet its objective is let into. */
+const MAX_LATE_WAIT_MS = 500;
+/** How often waiting calls are looked through, in milliseconds. */
+const REVIEW_MS = 50;
+
+/** A call counts as in time if it would be even after this many average durations. */
+const IN_TIME_FACTOR = 1.4;
 
 /** Ends the use of a slot. */
 export type Release = () => void;
 
-/** Hands out the slots of the upstream beside this daemon, with a short queue in front. */
+/** What decides when a call gets its slot; times are monotonic, in milliseconds. */
+export interface AdmissionRequest {
+  readonly route: RouteName;
+  readonly priority: Priority;
+  /** By when the caller wants the answer at all. */
+  readonly deadline: number;
+  /** By when the answer is as useful as an immediate one. */
+  readonly objective: number;
+}
+
+/** What the daemon beside an upstream tells of it; times in milliseconds. */
+export interface SlotLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** What a call that arrives now would wait for a slot. */
+  readonly waitMs: number;
+}
+
+interface Waiting {
+  readonly request: AdmissionRequest;
+  readonly durationMs: number;
+  /** When it gives up its place. */
+  readonly patience: number;
+  readonly start: () => void;
+  readonly refuse: (reason: string) => void;
+}
+
+interface Running {
+  readonly startedAt: number;
+  readonly overdueAt: number;
+}
+
+/**
+ * Hands out the slots of the upstream beside this daemon, with a queue in front.
+ *
+ * Load it answers: arrivals above what the slots can finish, for seconds. First come, first served
+ * makes every call late then. Here calls that can still meet their objective go first, by priority
+ * and then by the earlier objective; one that can't is let in only for a short wait; one that would
+ * miss its deadline is refused on arrival, or as soon as later arrivals of higher rank make it so.
+ * An upstream that never answers what it can't queue is never sent more than its slots, but for
+ * calls that are long overdue, whose answers are likely lost.
+ */
 export default class Admission {
-  private readonly queue: PQueue;
+  private limits: Pick<Service, 'slots' | 'queue' | 'warmUpMs'>;
 
-  private limits: Service;
+  private readonly times = new ServiceTimes();
 
-  private holdMs = 0;
+  private readonly active = new Set<Running>();
+
+  private queue: Waiting[] = [];
+
+  private timer: NodeJS.Timeout | undefined;
 
   /**
-   * @param service - Slots and queue length.
+   * @param limits - Slots and queue length.
    * @param clock - Source of time.
    * @param servingSince - Monotonic time in ms at which the upstream began to serve.
    */
   public constructor(
-    service: Service,
+    limits: Pick<Service, 'slots' | 'queue' | 'warmUpMs'>,
     private readonly clock: Clock,
     private readonly servingSince: number,
   ) {
-    this.limits = service;
-    this.queue = new PQueue({ concurrency: service.slots });
+    this.limits = limits;
   }
 
-  /** @param service - The service in a new version. */
-  public setLimits(service: Service): void {
-    this.limits = service;
+  /** @param limits - The limits in a new version. */
+  public setLimits(limits: Pick<Service, 'slots' | 'queue' | 'warmUpMs'>): void {
+    this.limits = limits;
+    this.fill();
   }
 
   /** Calls running and waiting, in parts of the slots. */
   public get load(): number {
-    return (this.queue.pending + this.waiting) / this.slots();
+    return (this.running + this.waiting) / this.slots();
   }
 
   /** Calls that hold a slot. */
   public get running(): number {
-    return this.queue.pending;
+    return this.active.size;
   }
 
   /** Calls that wait for a slot. */
   public get waiting(): number {
-    return this.queue.size;
+    return this.queue.length;
+  }
+
+  /** What callers' daemons place their calls by. */
+  public get slotLoad(): SlotLoad {
+    const slots = this.slots();
+    const waitMs = this.occupied() < slots ? 0 : this.waitFor(this.queue);
+    return { running: this.running, waiting: this.waiting, slots, waitMs };
+  }
+
+  /**
+   * @param route - A route.
+   * @returns Milliseconds that its calls take here on average; `undefined` before any was seen.
+   */
+  public durationMs(route: RouteName): number | undefined {
+    return this.times.known(route);
   }
 
   /**
-   * @param priority - Interactive calls go first.
-   * @param deadline - Monotonic time in ms by which the caller wants the answer.
+   * @param request - What decides when it gets its slot.
    * @param signal - Gives up the wait.
    * @returns The slot's release.
    * @throws NotRunError - The queue is full, the wait would be too long, or the caller left.
    */
-  public acquire(priority: Priority, deadline: number, signal: AbortSignal): Promise<Release> {
-    this.queue.concurrency = this.slots();
-    const refusal = this.refusal(deadline);
-    if (refusal) return Promise.reject(new NotRunError(refusal, this.load));
-    const mustWait = this.queue.pending >= this.queue.concurrency;
-    return mustWait ? this.wait(priority, signal) : this.take(priority);
+  public acquire(request: AdmissionRequest, signal: AbortSignal): Promise<Release> {
+    if (this.queue.length === 0 && this.occupied() < this.slots()) {
+      return Promise.resolve(this.take(request));
+    }
+    const durationMs = this.times.expected(request.route);
+    const refusal = this.refusal(request, durationMs);
+    if (refusal) return Promise.reject(this.notRun(refusal));
+    return this.wait(request, durationMs, signal);
   }
 
-  private take(priority: Priority): Promise<Release> {
-    return new Promise((resolve) => {
-      void this.queue.add(() => this.hold(resolve), { priority: PRIORITIES[priority] });
-    });
+  /** Refuses every call that waits. */
+  public refuseWaiting(reason: string): void {
+    const refused = this.queue;
+    this.queue = [];
+    for (const entry of refused) entry.refuse(reason);
   }
 
-  private wait(priority: Priority, signal: AbortSignal): Promise<Release> {
-    const left = new AbortController();
-    const leave = () => left.abort(new NotRunError('the caller left while it waited', this.load));
-    signal.addEventListener('abort', leave, { once: true });
+  private wait(
+    request: AdmissionRequest,
+    durationMs: number,
+    signal: AbortSignal,
+  ): Promise<Release> {
     return new Promise((resolve, reject) => {
-      const task = () => {
-        signal.removeEventListener('abort', leave);
-        return this.hold(resolve);
+      const leave = () => {
+        this.queue = this.queue.filter((entry) => entry.request !== request);
+        reject(this.notRun('the caller left while it waited'));
+      };
+      const settle = () => signal.removeEventListener('abort', leave);
+      const entry: Waiting = {
+        request,
+        durationMs,
+        patience: this.patience(request, durationMs),
+        start: () => {
+          settle();
+          resolve(this.take(request));
+        },
+        refuse: (reason) => {
+          settle();
+          reject(this.notRun(reason));
+        },
       };
-      const options = { priority: PRIORITIES[priority], signal: left.signal };
-      this.queue.add(task, options).catch(reject);
+      signal.addEventListener('abort', leave, { once: true });
+      this.queue.push(entry);
+      this.shorten();
+      this.fill();
     });
   }
 
-  private hold(resolve: (release: Release) => void): Promise<void> {
-    const started = this.clock.now();
-    return new Promise((end) => {
-      resolve(() => {
-        this.holdMs += LATENCY_WEIGHT * (this.clock.now() - started - this.holdMs);
-        end();
-      });
-    });
+  private take(request: AdmissionRequest): Release {
+    const startedAt = this.clock.now();
+    const expectedMs = this.times.expected(request.route);
+    // Before any call has ended nothing tells what is long.
+    const overdueMs =
+      expectedMs > 0 ? Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs) : Infinity;
+    const running: Running = { startedAt, overdueAt: startedAt + overdueMs };
+    this.active.add(running);
+    return () => {
+      if (!this.active.delete(running)) return;
+      this.times.note(request.route, this.clock.now() - startedAt);
+      this.fill();
+    };
   }
 
-  private refusal(deadline: number): string | undefined {
-    const slots = this.slots();
-    if (this.queue.pending < slots) return undefined;
-    if (this.waiting >= this.limits.queue) return 'the queue is full';
-    const waitMs = ((this.waiting + 1) * this.holdMs) / slots;
-    return this.clock.now() + waitMs > deadline ? 'the wait would pass the deadline' : undefined;
+  /** Gives free slots to those that wait. */
+  private fill(): void {
+    this.expire();
+    while (this.queue.length > 0 && this.occupied() < this.slots()) {
+      const next = this.first();
+      this.drop(next);
+      next.start();
+    }
+    this.schedule();
+  }
+
+  private first(): Waiting {
+    const now = this.clock.now();
+    return this.queue.reduce((best, entry) =>
+      Admission.goesBefore(entry, best, now) ? entry : best,
+    );
+  }
+
+  private static goesBefore(a: Waiting, b: Waiting, now: number): boolean {
+    const aInTime = Admission.isInTime(a, now);
+    const bInTime = Admission.isInTime(b, now);
+    if (aInTime !== bInTime) return aInTime;
+    if (a.request.priority !== b.request.priority) return a.request.priority < b.request.priority;
+    return a.request.objective < b.request.objective;
+  }
+
+  private refusal(request: AdmissionRequest, durationMs: number): string | undefined {
+    const now = this.clock.now();
+    const probe = { request, durationMs } as Waiting;
+    const ahead = this.queue.filter((entry) => !Admission.goesBefore(probe, entry, now));
+    if (this.queue.length >= this.limits.queue) {
+      if (ahead.length === this.queue.length) return 'the queue is full';
+    }
+    const waitMs = this.waitFor(ahead);
+    if (now + waitMs + durationMs > request.deadline) return 'the wait would pass the deadline';
+    const isLate = !Admission.isInTime(probe, now + waitMs);
+    if (isLate && waitMs > MAX_LATE_WAIT_MS) return 'the wait would pass the objective by far';
+    return undefined;
+  }
+
+  private patience(request: AdmissionRequest, durationMs: number): number {
+    const now = this.clock.now();
+    const latestStart = request.deadline - durationMs;
+    if (Admission.isInTime({ request, durationMs }, now)) {
+      const lastInTime = request.objective - IN_TIME_FACTOR * durationMs;
+      return Math.min(latestStart, lastInTime + OVERTAKEN_PATIENCE_MS);
+    }
+    const promisedMs = this.waitFor(this.queue);
+    return Math.min(latestStart, now + Math.max(MIN_LATE_PATIENCE_MS, LATE_PATIENCE * promisedMs));
+  }
+
+  /** Refuses what can no longer be answered by its deadline. */
+  private expire(): void {
+    const now = this.clock.now();
+    for (const entry of this.queue.filter(({ patience }) => now > patience)) {
+      this.drop(entry);
+      entry.refuse('no slot came free in time');
+    }
+  }
+
+  /** Refuses what has lost its place. */
+  private shorten(): void {
+    const now = this.clock.now();
+    while (this.queue.length > this.limits.queue) {
+      const last = this.queue.reduce((worst, entry) =>
+        Admission.goesBefore(entry, worst, now) ? worst : entry,
+      );
+      this.drop(last);
+      last.refuse('calls of a higher rank took its place');
+    }
+  }
+
+  private schedule(): void {
+    if (this.queue.length === 0 || this.timer) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.fill();
+    }, REVIEW_MS);
+    this.timer.unref();
+  }
+
+  /** Milliseconds until a slot is free for one that waits behind `ahead`. */
+  private waitFor(ahead: readonly Waiting[]): number {
+    const aheadMs = ahead.reduce((sum, { durationMs }) => sum + durationMs, 0);
+    return (this.times.mean + aheadMs) / this.slots();
+  }
+
+  private drop(entry: Waiting): void {
+    const index = this.queue.indexOf(entry);
+    if (index >= 0) this.queue.splice(index, 1);
+  }
+
+  private notRun(reason: string): NotRunError {
+    return new NotRunError(reason, { retryAfterMs: this.slotLoad.waitMs });
+  }
+
+  private static isInTime(
+    { request, durationMs }: Pick<Waiting, 'request' | 'durationMs'>,
+    start: number,
+  ): boolean {
+    return start + IN_TIME_FACTOR * durationMs <= request.objective;
+  }
+
+  /** Slots that are in use; long overdue calls leave theirs to others, once for each slot. */
+  private occupied(): number {
+    const now = this.clock.now();
+    let overdue = 0;
+    for (const { overdueAt } of this.active) if (now > overdueAt) overdue += 1;
+    return this.active.size - Math.min(overdue, this.limits.slots);
   }
 
   /** Slots that may be used now; a cold upstream gets them step by step. */
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -1,6 +1,5 @@
-import type { AttemptNumber, Clock, DaemonId, Incarnation } from '../common/Types';
+import type { AttemptNumber, Clock, DaemonId, Incarnation, ServiceName } from '../common/Types';
 import type { Route, Service } from '../version/Types';
-import { LOAD_HEADER, positiveHeader } from './callHeaders';
 import CallError from './CallError';
 import hedgedAttempt from './hedgedAttempt';
 import isIdempotent from './isIdempotent';
@@ -17,10 +16,21 @@
 } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
 
+/**
+ * Average latencies after which a call counts as a straggler on a route with `hedge`, or with an
+ * objective that waiting longer would miss.
+ */
 const HEDGE_LATENCIES = 3;
 const MIN_HEDGE_MS = 5;
+/** Part of the objective that is always waited for before a second attempt. */
+const OBJECTIVE_PART = 0.6;
+/** Average latencies for every other call that may run again. */
 const RESCUE_LATENCIES = 10;
 const MIN_RESCUE_MS = 1_000;
+/** Daemons that a call is offered to before it is refused; their refusals cost no upstream. */
+const MAX_OFFERS = 4;
+/** Statuses with which an upstream says that it failed, so that another may do better. */
+const RETRIED_STATUSES = new Set([500, 502, 503]);
 const NONE: ReadonlySet<DaemonId> = new Set();
 
 /** What every call uses. */
@@ -29,6 +39,8 @@
   readonly transport: AttemptTransport;
   readonly clock: Clock;
   readonly daemon: DaemonId;
+  /** Service beside this daemon, which its callers' calls begin at. */
+  readonly callerService: ServiceName | undefined;
   readonly incarnation: () => Incarnation;
   readonly nextAttempt: () => AttemptNumber;
   readonly onAttempt: (kind: 'first' | 'retry' | 'hedge') => void;
@@ -41,23 +53,51 @@
   readonly retryBudget: number;
 }
 
+/** Times of a call; monotonic, in milliseconds. */
+export interface CallTimes {
+  /** By when the answer must have begun. */
+  readonly deadline: number;
+  /** By when it is as useful as an immediate one. */
+  readonly objective: number;
+}
+
+/** One attempt of a call, for the log. */
+export interface AttemptTrace {
+  readonly number: AttemptNumber;
+  readonly upstream: DaemonId;
+  readonly kind: 'first' | 'retry' | 'hedge';
+  /** What it was chosen by: calls at the upstream and slots, as last reported. */
+  readonly load: string | undefined;
+  readonly loadAgeMs: number | undefined;
+  result: string;
+  elapsedMs: number;
+}
+
 /** One call, from its request to the head of its answer. */
 export default class Call {
+  /** Attempts made, for the log. */
+  public readonly traces: AttemptTrace[] = [];
+
   private readonly tried = new Set<DaemonId>();
 
   private readonly idempotent: boolean;
 
   private attempts: number;
 
+  /** Attempts that an upstream received; only these count as attempts of the route. */
+  private received = 0;
+
   /** Whether some attempt's outcome is unknown, so that the call's can't be "not run". */
   private mayHaveRun = false;
 
+  private retryAfterMs: number | undefined;
+
   /**
    * @param request - What to send.
    * @param terms - How.
    * @param services - What every call uses.
    * @param budget - Shared by the calls to the service.
-   * @param deadline - Monotonic time in ms by which the answer must have begun.
+   * @param times - By when.
    * @param attemptsAbove - Attempts that the levels above made.
    */
   public constructor(
@@ -65,7 +105,7 @@
     private readonly terms: CallTerms,
     private readonly services: CallServices,
     private readonly budget: RetryBudget,
-    private readonly deadline: number,
+    private readonly times: CallTimes,
     private readonly attemptsAbove: number,
   ) {
     this.idempotent = isIdempotent(terms.route, request.method);
@@ -82,97 +122,177 @@
    */
   public async run(signal: AbortSignal): Promise<Answer> {
     this.budget.deposit(this.terms.retryBudget);
-    for (let retries = 0; ; retries += 1) {
+    for (let offers = 1; ; offers += 1) {
       const upstream = this.choose();
       if (!upstream) throw this.settle(new NotRunError('no upstream takes the call'));
-      this.services.onAttempt(retries === 0 ? 'first' : 'retry');
       try {
-        return await this.hedged(upstream, signal);
+        const answer = await this.hedged(upstream, signal, offers === 1 ? 'first' : 'retry');
+        if (!this.mayImprove(answer, signal)) return answer;
+        this.mayHaveRun = true;
+        answer.dispose();
       } catch (error) {
         if (!(error instanceof CallError)) throw error;
-        if (!this.mayRetry(error, retries, signal)) throw this.settle(error);
+        if (!this.mayRetry(error, offers, signal)) throw this.settle(error);
       }
     }
   }
 
   /** One that was tried comes into question again only where no other is left. */
   private choose(): Upstream | undefined {
-    const { balancer } = this.services;
-    const { service } = this.terms;
-    return balancer.choose(service, this.tried) ?? balancer.choose(service, NONE);
+    return this.place(this.tried) ?? this.place(NONE);
+  }
+
+  private place(exclude: ReadonlySet<DaemonId>): Upstream | undefined {
+    const { service, route } = this.terms;
+    return this.services.balancer.choose({
+      service: service.name,
+      route: route.name,
+      slots: service.slots,
+      objectiveMs: this.times.objective - this.services.clock.now(),
+      exclude,
+    });
+  }
+
+  /** Whether a failure that an upstream answered with is worth another attempt. */
+  private mayImprove(answer: Answer, signal: AbortSignal): boolean {
+    if (!RETRIED_STATUSES.has(answer.status) || !this.idempotent || this.attemptsAbove > 1) {
+      return false;
+    }
+    return !signal.aborted && this.hasTime() && this.mayReachAnother();
   }
 
-  private mayRetry(error: CallError, retries: number, signal: AbortSignal): boolean {
+  private mayRetry(error: CallError, offers: number, signal: AbortSignal): boolean {
     const notRun = error instanceof NotRunError;
-    if (!notRun) this.mayHaveRun = true;
-    if (signal.aborted || this.services.clock.now() >= this.deadline) return false;
-    if (retries >= this.terms.route.retries) return false;
+    if (notRun) this.noteRoom(error);
+    if (signal.aborted || !this.hasTime()) return false;
     // Below a level that retries already, only proved non-runs go elsewhere.
     if (!notRun && (!this.idempotent || this.attemptsAbove > 1)) return false;
-    return this.budget.withdraw();
+    if (notRun && !error.details.reachedUpstream) {
+      return offers < MAX_OFFERS && this.received <= this.terms.route.retries;
+    }
+    return this.mayReachAnother();
+  }
+
+  /** Whether the route and the budget let one more upstream receive the call. */
+  private mayReachAnother(): boolean {
+    return this.received <= this.terms.route.retries && this.budget.withdraw();
+  }
+
+  private hasTime(): boolean {
+    return this.services.clock.now() < this.times.deadline;
+  }
+
+  private noteRoom({ details }: NotRunError): void {
+    const { retryAfterMs } = details;
+    if (retryAfterMs === undefined) return;
+    this.retryAfterMs = Math.min(this.retryAfterMs ?? Infinity, retryAfterMs);
   }
 
   private settle(error: CallError): CallError {
     const reason = `${error.message} (attempts: ${[...this.tried].join(', ') || 'none'})`;
     if (error instanceof NotRunError && !this.mayHaveRun) {
-      return new NotRunError(reason, error.load);
+      return new NotRunError(reason, { ...error.details, retryAfterMs: this.retryAfterMs });
     }
     return new UnknownOutcomeError(reason);
   }
 
   /** Sends a second attempt where the first is a straggler and the call may run twice. */
-  private hedged(upstream: Upstream, signal: AbortSignal): Promise<Answer> {
-    if (!this.idempotent || this.attemptsAbove > 1) return this.attempt(upstream, signal);
-    const { balancer } = this.services;
-    const first = (cancel: AbortSignal) => this.attempt(upstream, cancel);
+  private hedged(
+    upstream: Upstream,
+    signal: AbortSignal,
+    kind: 'first' | 'retry',
+  ): Promise<Answer> {
+    const first = (cancel: AbortSignal) => this.attempt(upstream, cancel, kind);
+    if (!this.idempotent || this.attemptsAbove > 1) return first(signal);
     const second = () => {
-      const other = balancer.choose(this.terms.service, this.tried);
-      if (!other || !this.budget.withdraw()) return undefined;
-      this.services.onAttempt('hedge');
-      return (cancel: AbortSignal) => this.attempt(other, cancel);
+      const other = this.place(this.tried);
+      if (!other || !this.mayReachAnother()) return undefined;
+      return (cancel: AbortSignal) => this.attempt(other, cancel, 'hedge');
     };
     return hedgedAttempt(first, second, this.stragglerMs(), signal);
   }
 
   /** Milliseconds after which an attempt counts as a straggler. */
   private stragglerMs(): number {
-    const averageMs = this.services.balancer.latencyMs(this.terms.service.name);
-    return this.terms.route.hedge
-      ? Math.max(MIN_HEDGE_MS, HEDGE_LATENCIES * averageMs)
-      : Math.max(MIN_RESCUE_MS, RESCUE_LATENCIES * averageMs);
+    const { route, service } = this.terms;
+    const averageMs = this.services.balancer.latencyMs(service.name, route.name);
+    if (route.hedge) return Math.max(MIN_HEDGE_MS, HEDGE_LATENCIES * averageMs);
+    if (route.objectiveMs < route.timeoutMs) {
+      return Math.max(OBJECTIVE_PART * route.objectiveMs, HEDGE_LATENCIES * averageMs);
+    }
+    return Math.max(MIN_RESCUE_MS, RESCUE_LATENCIES * averageMs);
   }
 
-  private async attempt(upstream: Upstream, signal: AbortSignal): Promise<Answer> {
-    const { balancer, transport, clock } = this.services;
+  private async attempt(
+    upstream: Upstream,
+    signal: AbortSignal,
+    kind: AttemptTrace['kind'],
+  ): Promise<Answer> {
+    const { balancer, transport, clock, onAttempt } = this.services;
+    onAttempt(kind);
     this.tried.add(upstream.daemon);
     this.attempts += 1;
+    this.received += 1;
+    const context = this.context();
+    const trace = this.trace(upstream, context, kind);
     balancer.begin(upstream);
     const began = clock.now();
     let result: AttemptResult = { kind: 'cancelled' };
     try {
-      const answer = await transport.send(upstream, this.request, this.context(), signal);
-      const load = positiveHeader(answer.headers, LOAD_HEADER, 0);
-      result = { kind: 'answered', latencyMs: clock.now() - began, load };
+      const answer = await transport.send(upstream, this.request, context, signal);
+      trace.result = String(answer.status);
+      const latencyMs = clock.now() - began;
+      result = RETRIED_STATUSES.has(answer.status)
+        ? { kind: 'failed' }
+        : { kind: 'answered', latencyMs, load: answer.load };
       return answer;
     } catch (error) {
-      if (error instanceof NotRunError && error.load !== undefined) {
-        result = { kind: 'refused', load: error.load };
-      } else if (!signal.aborted || clock.now() - began > this.stragglerMs()) {
+      trace.result = (error as Error).message;
+      if (!(error instanceof NotRunError)) this.mayHaveRun = true;
+      const { details } = error as Partial<NotRunError>;
+      if (error instanceof NotRunError && !details?.reachedUpstream) this.received -= 1;
+      if (details?.load !== undefined) result = { kind: 'refused', load: details.load };
+      else if (!signal.aborted || clock.now() - began > this.stragglerMs()) {
         result = { kind: 'failed' };
       }
       throw error;
     } finally {
-      balancer.end(upstream, result);
+      trace.elapsedMs = Math.round(clock.now() - began);
+      balancer.end(upstream, this.terms.route.name, result);
     }
   }
 
+  private trace(
+    upstream: Upstream,
+    { id }: AttemptContext,
+    kind: AttemptTrace['kind'],
+  ): AttemptTrace {
+    const known = this.services.balancer.known(upstream);
+    const trace: AttemptTrace = {
+      number: id.number,
+      upstream: upstream.daemon,
+      kind,
+      load: known && `${known.load.running}+${known.load.waiting}/${known.load.slots}`,
+      loadAgeMs: known && Math.round(known.ageMs),
+      result: 'cancelled',
+      elapsedMs: 0,
+    };
+    this.traces.push(trace);
+    return trace;
+  }
+
   private context(): AttemptContext {
-    const { daemon, incarnation, nextAttempt } = this.services;
+    const { daemon, incarnation, nextAttempt, callerService } = this.services;
+    const { route, service } = this.terms;
     return {
       id: { daemon, incarnation: incarnation(), number: nextAttempt() },
-      service: this.terms.service.name,
-      priority: this.terms.route.priority,
-      deadline: this.deadline,
+      service: service.name,
+      route: route.name,
+      priority: route.priority,
+      idempotent: this.idempotent,
+      deadline: this.times.deadline,
+      objective: this.times.objective,
+      callerService,
       attempts: this.attempts,
     };
   }
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -1,23 +1,28 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { ServiceName } from '../common/Types';
+import type { Logger, Random, RequestId, ServiceName } from '../common/Types';
 import type { CurrentVersion, Route } from '../version/Types';
 import Call, { type CallServices, type CallTerms } from './Call';
-import { ATTEMPTS_HEADER, DEADLINE_HEADER, positiveHeader } from './callHeaders';
+import { ATTEMPTS_HEADER, positiveHeader } from './callHeaders';
 import CALLER_LEFT from './callerLeft';
+import DeadlineError from './DeadlineError';
 import NotRunError from './NotRunError';
 import readRequest from './readRequest';
 import { refuseCall, relayAnswer, type Refusal } from './relayAnswer';
 import RequestError from './RequestError';
-import RetryBudget from './RetryBudget';
-import type { Outcome, UpstreamDirectory } from './Types';
+import RetryBudget, { type RetryAllowance } from './RetryBudget';
+import SplitDealers from './SplitDealers';
+import type { Answer, CallRequest, HeaderNames, Outcome, UpstreamDirectory } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
+import waitingTime from './waitingTime';
 
 const MAX_DEPTH_ATTEMPTS = 1_000;
 const DEADLINE_PASSED = Symbol('the deadline passed');
+/** When to come again where nothing tells when there will be room, in milliseconds. */
+const RETRY_UNKNOWN_MS = 300;
 
 /** Bounds on callers' requests. */
 export interface CallLimits {
-  /** Largest request body in bytes. */
+  /** Largest request body in bytes, where the configuration sets none. */
   readonly maxBodyBytes: number;
   /** Calls open at once; one more is refused as not run. */
   readonly maxOpenCalls: number;
@@ -30,37 +35,63 @@
   readonly durationMs: number;
 }
 
+/** What the handler uses of its daemon. */
+export interface CallHandlerServices extends CallServices {
+  readonly versions: CurrentVersion;
+  readonly directory: UpstreamDirectory;
+  readonly names: HeaderNames;
+  readonly limits: CallLimits;
+  readonly allowance: RetryAllowance;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly report: (report: CallReport) => void;
+  /** Whether the configuration in force is known to be no older than that of other daemons. */
+  readonly isCurrent: () => boolean;
+}
+
 /** Where a request would go, and why it wouldn't. */
 export type Resolution =
   | { readonly kind: 'terms'; readonly terms: CallTerms }
   | { readonly kind: 'refused'; readonly refusal: Refusal };
 
+/** What the log line of a call tells. */
+interface CallRecord {
+  requestId?: RequestId;
+  route?: string;
+  service?: string;
+  allowedMs?: number;
+  call?: Call;
+  outcome: Outcome;
+  reason?: string;
+}
+
 /** Answers the requests of callers by the configuration in force. */
 export default class CallHandler {
   private readonly budgets = new Map<ServiceName, RetryBudget>();
 
+  private readonly dealers = new SplitDealers();
+
   private open = 0;
 
   private draining = false;
 
   private idle: (() => void) | undefined;
 
-  public constructor(
-    private readonly versions: CurrentVersion,
-    private readonly directory: UpstreamDirectory,
-    private readonly services: CallServices,
-    private readonly limits: CallLimits,
-    private readonly report: (report: CallReport) => void,
-  ) {}
+  /** @param services - What it uses. */
+  public constructor(private readonly services: CallHandlerServices) {}
 
   /** Calls that haven't ended. */
   public get openCalls(): number {
     return this.open;
   }
 
-  /** Refuses new calls as not run from now on; resolves once none is open. */
-  public async drain(): Promise<void> {
+  /** Ends callers' connections with their next answer; what comes until then is served. */
+  public closeConnections(): void {
     this.draining = true;
+  }
+
+  /** Resolves once no call is open. */
+  public async whenIdle(): Promise<void> {
     if (this.open === 0) return;
     await new Promise<void>((resolve) => {
       this.idle = resolve;
@@ -69,17 +100,18 @@
 
   /**
    * @param method - HTTP method.
+   * @param host - Host header.
    * @param path - Path, with or without the query.
    * @returns The route and service for it, or the answer that refuses it.
    */
-  public resolve(method: string, path: string): Resolution {
-    const { snapshot } = this.versions;
+  public resolve(method: string, host: string, path: string): Resolution {
+    const { snapshot } = this.services.versions;
     if (!snapshot) return CallHandler.refusal(503, 'no configuration is in force here yet');
-    const route = this.match(method, path);
+    const route = this.match(method, host, path);
     if (!route) return CallHandler.refusal(404, 'no route matches');
-    const service = snapshot.configuration.services.get(route.service)!;
-    if (this.directory.upstreams(service.name).length === 0) {
-      return CallHandler.refusal(503, CallHandler.absence(route));
+    const service = snapshot.configuration.services.get(this.dealers.next(route))!;
+    if (this.services.directory.upstreams(service.name).length === 0) {
+      return CallHandler.refusal(503, CallHandler.absence(route, service.name));
     }
     const { retryBudget } = snapshot.configuration;
     return { kind: 'terms', terms: { route, service, retryBudget } };
@@ -87,11 +119,12 @@
 
   /**
    * @param method - HTTP method.
+   * @param host - Host header.
    * @param path - Path, with or without the query.
    * @returns The route of the version in force that matches.
    */
-  public match(method: string, path: string): Route | undefined {
-    return this.versions.snapshot?.match(method, path.split('?', 1)[0]!);
+  public match(method: string, host: string, path: string): Route | undefined {
+    return this.services.versions.snapshot?.match(method, host, path.split('?', 1)[0]!);
   }
 
   /**
@@ -102,13 +135,14 @@
    */
   public async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const began = this.services.clock.now();
+    const record: CallRecord = { outcome: 'answered' };
     this.open += 1;
-    let outcome: Outcome = 'answered';
+    if (this.draining) response.setHeader('connection', 'close');
     try {
-      await this.answer(message, response);
+      await this.answer(message, response, record);
     } catch (error) {
-      const refusal = CallHandler.refusalOf(error as Error);
-      outcome = refusal.outcome;
+      const refusal = this.refusalOf(error as Error);
+      Object.assign(record, { outcome: refusal.outcome, reason: refusal.reason });
       refuseCall(refusal, response);
       // What is left of a refused body isn't read; the connection can't be used again.
       if (!message.complete) response.once('finish', () => message.socket.destroySoon());
@@ -116,7 +150,8 @@
       this.open -= 1;
       if (this.open === 0) this.idle?.();
       const durationMs = this.services.clock.now() - began;
-      this.report({ outcome, status: response.statusCode, durationMs });
+      this.services.report({ outcome: record.outcome, status: response.statusCode, durationMs });
+      this.log(record, response.statusCode, durationMs);
     }
   }
 
@@ -127,59 +162,115 @@
   public budget(service: ServiceName): RetryBudget {
     let budget = this.budgets.get(service);
     if (!budget) {
-      budget = new RetryBudget();
+      budget = new RetryBudget(this.services.allowance, this.services.clock);
       this.budgets.set(service, budget);
     }
     return budget;
   }
 
-  private async answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (this.draining) throw new NotRunError('this daemon is stopping');
-    if (this.open > this.limits.maxOpenCalls) throw new NotRunError('too many calls are open here');
-    const request = await readRequest(message, this.limits.maxBodyBytes);
-    const resolution = this.resolve(request.method, request.path);
+  private async answer(
+    message: IncomingMessage,
+    response: ServerResponse,
+    record: CallRecord,
+  ): Promise<void> {
+    const { limits, names, versions, isCurrent } = this.services;
+    if (!isCurrent()) throw new NotRunError('no current configuration is in force here yet');
+    if (this.open > limits.maxOpenCalls) throw new NotRunError('too many calls are open here');
+    const maxBodyBytes =
+      versions.snapshot?.configuration.limits?.maxBodyBytes ?? limits.maxBodyBytes;
+    const request = await readRequest(message, maxBodyBytes, names);
+    Object.assign(record, { requestId: request.requestId });
+    const resolution = this.resolve(request.method, request.host, request.path);
     if (resolution.kind === 'refused') {
-      refuseCall(resolution.refusal, response);
+      const { refusal } = resolution;
+      if (refusal.status === 503) throw new NotRunError(refusal.reason);
+      Object.assign(record, { outcome: refusal.outcome, reason: refusal.reason });
+      refuseCall(refusal, response);
       return;
     }
-    await this.carry(message, response, request, resolution.terms);
+    await this.carry(message, response, request, resolution.terms, record);
   }
 
   private async carry(
     message: IncomingMessage,
     response: ServerResponse,
-    request: Awaited<ReturnType<typeof readRequest>>,
+    request: CallRequest,
     terms: CallTerms,
+    record: CallRecord,
   ): Promise<void> {
-    const { clock } = this.services;
-    const askedMs = positiveHeader(message.headers, DEADLINE_HEADER, Infinity);
+    const { clock, names } = this.services;
+    const askedMs = positiveHeader(message.headers, names.deadlineMs, Infinity);
     const allowedMs = Math.min(askedMs, terms.route.timeoutMs);
     const attempts = positiveHeader(message.headers, ATTEMPTS_HEADER, 0);
     if (attempts > MAX_DEPTH_ATTEMPTS) throw new NotRunError('the call made too many attempts');
+    const now = clock.now();
+    const times = { deadline: now + allowedMs, objective: now + terms.route.objectiveMs };
+    const budget = this.budget(terms.service.name);
+    const call = new Call(request, terms, this.services, budget, times, attempts);
+    Object.assign(record, {
+      route: terms.route.name,
+      service: terms.service.name,
+      allowedMs: Math.round(allowedMs),
+      call,
+    });
+    const answer = await CallHandler.withDeadline(message, allowedMs, (signal) => call.run(signal));
+    if (!(await relayAnswer(answer, response, names))) {
+      Object.assign(record, { reason: 'the answer broke off, or the caller left' });
+    }
+  }
+
+  /** Runs a call until it is answered, its time ends, or its caller leaves. */
+  private static async withDeadline(
+    message: IncomingMessage,
+    allowedMs: number,
+    run: (signal: AbortSignal) => Promise<Answer>,
+  ): Promise<Answer> {
     const cancel = new AbortController();
-    const timer = setTimeout(() => cancel.abort(DEADLINE_PASSED), allowedMs);
+    const { socket } = message;
+    // A request behind others on its connection has no response event of its own for this.
     const leave = () => cancel.abort(CALLER_LEFT);
-    response.once('close', leave);
+    socket.once('close', leave);
+    if (socket.destroyed) leave();
+    let timer: NodeJS.Timeout | undefined;
+    let late = false;
     try {
-      const call = new Call(
-        request,
-        terms,
-        this.services,
-        this.budget(terms.service.name),
-        clock.now() + allowedMs,
-        attempts,
+      const running = run(cancel.signal);
+      const deadline = new Promise<never>((_resolve, reject) => {
+        timer = setTimeout(() => {
+          late = true;
+          cancel.abort(DEADLINE_PASSED);
+          reject(new DeadlineError('no answer came in time'));
+        }, waitingTime(allowedMs));
+      });
+      // What the call comes to after its time has ended has no taker.
+      running.then(
+        (answer) => late && answer.dispose(),
+        () => undefined,
       );
-      const answer = await call.run(cancel.signal);
-      clearTimeout(timer);
-      // From here on the answer itself notices that the caller left.
-      response.off('close', leave);
-      await relayAnswer(answer, response);
+      return await Promise.race([running, deadline]);
     } finally {
       clearTimeout(timer);
+      socket.off('close', leave);
     }
   }
 
-  private static absence({ name, service }: Route): string {
+  private log(record: CallRecord, status: number, durationMs: number): void {
+    const { logger, versions } = this.services;
+    logger.log('Call ended.', {
+      request: record.requestId,
+      route: record.route,
+      service: record.service,
+      version: versions.snapshot?.head.version,
+      outcome: record.outcome,
+      status,
+      reason: record.reason,
+      durationMs: Math.round(durationMs),
+      allowedMs: record.allowedMs,
+      attempts: record.call?.traces,
+    });
+  }
+
+  private static absence({ name }: Route, service: ServiceName): string {
     return `route ${name} is not in force: service ${service} has no upstream that serves`;
   }
 
@@ -187,11 +278,21 @@
     return { kind: 'refused', refusal: { status, outcome: 'not-run', reason } };
   }
 
-  private static refusalOf(error: Error): Refusal {
+  private refusalOf(error: Error): Refusal {
     const reason = error.message;
     if (error instanceof RequestError) return { status: error.status, outcome: 'not-run', reason };
-    if (error instanceof NotRunError) return { status: 503, outcome: 'not-run', reason };
+    if (error instanceof NotRunError) {
+      const retryAfterMs = this.retryAfterMs(error.details.retryAfterMs);
+      return { status: 503, outcome: 'not-run', reason, retryAfterMs };
+    }
+    if (error instanceof DeadlineError) return { status: 504, outcome: 'unknown', reason };
     if (error instanceof UnknownOutcomeError) return { status: 502, outcome: 'unknown', reason };
     return { status: 500, outcome: 'unknown', reason };
   }
+
+  /** Spreads those refused together over the time in which there will be room. */
+  private retryAfterMs(roomMs: number | undefined): number {
+    const base = roomMs ?? RETRY_UNKNOWN_MS;
+    return base + this.services.random.below(1 + Math.round(base));
+  }
 }
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from 'undici';
-import type { Address, Clock, Disposable } from '../common/Types';
+import type { Address, Clock, Disposable, InstanceId, Logger } from '../common/Types';
 import type { Service } from '../version/Types';
 import Admission from './Admission';
 import type AttemptRegistry from './AttemptRegistry';
@@ -8,24 +8,57 @@
 import ExchangeError from './ExchangeError';
 import NotRunError from './NotRunError';
 import type StreamedAnswer from './StreamedAnswer';
-import type { Answer, AttemptContext, CallRequest } from './Types';
+import type { Answer, AttemptContext, CallRequest, HeaderNames, UpstreamLoad } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
 
+/** An answer that comes after its deadline is still awaited this long, for its connection's sake. */
 const HEAD_TIMEOUT_SLACK_MS = 1_000;
+/** Longest pause within a body before its connection counts as silent. */
 const BODY_TIMEOUT_MS = 30_000;
+/** A call without an answer for this many average durations makes the connections suspect. */
+const SILENT_FACTOR = 5;
+/** Shortest time without an answer, in milliseconds, that makes the connections suspect. */
+const MIN_SILENT_MS = 1_000;
+/** Weight of the newest call in the share of failed ones: about the last twenty count. */
+const FAILURE_WEIGHT = 0.05;
+const MISDIRECTED = 421;
+const FIRST_FAILURE_STATUS = 500;
 
 /** A pool of connections that can be closed. */
-export type UpstreamPool = Dispatcher & { destroy(): Promise<void> };
+export type UpstreamPool = Dispatcher & { destroy(): Promise<void>; close(): Promise<void> };
+
+/** Limits of one upstream. */
+export type UpstreamLimits = Pick<Service, 'slots' | 'queue' | 'warmUpMs'>;
+
+/** What a local upstream uses of its daemon. */
+export interface LocalUpstreamServices {
+  /** Opens connections to the upstream. */
+  readonly openPool: () => UpstreamPool;
+  /** Judges attempts. */
+  readonly registry: AttemptRegistry;
+  readonly names: HeaderNames;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Told when the upstream takes no connection. */
+  readonly onUnreachable: () => void;
+}
 
 /**
  * The upstream beside this daemon. Only this daemon connects to it, so its slots, its drain and
  * what it never ran have one judge.
  */
 export default class LocalUpstream implements Disposable {
+  /** The start of the upstream that may run calls; `undefined` where it didn't say. */
+  public instance: InstanceId | undefined;
+
   private readonly admission: Admission;
 
   private readonly origin: string;
 
+  private pool: UpstreamPool;
+
+  private failureShare = 0;
+
   /** Attempts taken whose answers aren't complete. */
   private open = 0;
 
@@ -34,21 +67,19 @@
   private readonly drainWaiters: (() => void)[] = [];
 
   /**
-   * @param service - The service it belongs to, in the current version.
+   * @param limits - Its slots and queue.
    * @param address - Where it listens.
-   * @param pool - Connections to it.
-   * @param registry - Judges attempts.
-   * @param clock - Source of time.
+   * @param services - What it uses.
    */
   public constructor(
-    service: Service,
+    limits: UpstreamLimits,
     public readonly address: Address,
-    private readonly pool: UpstreamPool,
-    private readonly registry: AttemptRegistry,
-    private readonly clock: Clock,
+    private readonly services: LocalUpstreamServices,
   ) {
+    const { clock } = services;
     this.origin = `http://${address}`;
-    this.admission = new Admission(service, clock, clock.now());
+    this.pool = services.openPool();
+    this.admission = new Admission(limits, clock, clock.now());
   }
 
   /** Calls running and waiting, in parts of the slots. */
@@ -61,9 +92,21 @@
     return { running: this.admission.running, waiting: this.admission.waiting };
   }
 
-  /** @param service - The service in a new version. */
-  public setLimits(service: Service): void {
-    this.admission.setLimits(service);
+  /**
+   * @param context - A call; its route's durations are told.
+   * @returns What callers' daemons place their calls by.
+   */
+  public loadFor({ route }: Pick<AttemptContext, 'route'>): UpstreamLoad {
+    return {
+      ...this.admission.slotLoad,
+      durationMs: this.admission.durationMs(route),
+      failureShare: this.failureShare,
+    };
+  }
+
+  /** @param limits - The limits in a new version. */
+  public setLimits(limits: UpstreamLimits): void {
+    this.admission.setLimits(limits);
   }
 
   /**
@@ -81,30 +124,32 @@
     context: AttemptContext,
     signal: AbortSignal,
   ): Promise<Answer> {
+    const { registry } = this.services;
     const { id } = context;
     if (this.draining) throw new NotRunError('the upstream takes no new work');
-    if (!this.registry.begin(id)) throw new NotRunError('the attempt was forbidden before it came');
+    if (!registry.begin(id)) throw new NotRunError('the attempt was forbidden before it came');
     let ran = false;
     this.open += 1;
     try {
-      const release = await this.admission.acquire(context.priority, context.deadline, signal);
-      if (signal.aborted || !this.registry.start(id)) {
+      const release = await this.admission.acquire(context, signal);
+      if (signal.aborted || this.draining || !registry.start(id)) {
         release();
-        throw new NotRunError('the attempt was given up while it waited', this.load);
+        throw new NotRunError('the attempt was given up while it waited');
       }
       ran = true;
       return await this.dispatch(request, context, signal, release);
     } catch (error) {
       // A request that was never sent hasn't run, although it had its slot.
-      this.registry.end(id, ran && !(error instanceof NotRunError));
+      registry.end(id, ran && !(error instanceof NotRunError));
       this.close();
-      throw error;
+      throw error instanceof NotRunError ? this.withLoad(error, context) : error;
     }
   }
 
-  /** Takes no attempt from now on; resolves once those taken have ended. */
+  /** Takes no attempt from now on; resolves once those that run have ended. */
   public async drain(): Promise<void> {
     this.draining = true;
+    this.admission.refuseWaiting('the upstream drains');
     if (this.open === 0) return;
     await new Promise<void>((resolve) => {
       this.drainWaiters.push(resolve);
@@ -121,30 +166,102 @@
     signal: AbortSignal,
     release: () => void,
   ): Promise<Answer> {
-    const now = this.clock.now();
+    const { clock, names } = this.services;
+    const { pool } = this;
+    const began = clock.now();
     let answer: StreamedAnswer;
     try {
       answer = await exchange({
-        dispatcher: this.pool,
+        dispatcher: pool,
         origin: this.origin,
         request,
-        headers: upstreamHeaders(request, context, now),
-        headTimeoutMs: Math.max(1, Math.round(context.deadline - now)) + HEAD_TIMEOUT_SLACK_MS,
+        headers: upstreamHeaders(request, context, this.instance, names, began),
+        headTimeoutMs: Math.max(1, Math.round(context.deadline - began)) + HEAD_TIMEOUT_SLACK_MS,
         bodyTimeoutMs: BODY_TIMEOUT_MS,
         signal,
       });
+      this.judge(answer, request);
     } catch (error) {
+      const elapsedMs = clock.now() - began;
       release();
+      this.noteFailure(error as Error, context, pool, elapsedMs);
       throw LocalUpstream.translate(error as Error);
     }
+    this.noteResult(answer.status >= FIRST_FAILURE_STATUS);
+    answer.load = this.loadFor(context);
     answer.onceClosed(() => {
-      this.registry.end(context.id, true);
+      this.services.registry.end(context.id, true);
       release();
       this.close();
     });
     return answer;
   }
 
+  /** Tells the upstream's answer to this request from refusals and from other bytes. */
+  private judge(answer: StreamedAnswer, request: CallRequest): void {
+    const { names } = this.services;
+    const { headers, status } = answer;
+    const echoed = headers[names.requestId];
+    if (echoed !== undefined && request.requestId !== undefined && echoed !== request.requestId) {
+      answer.dispose();
+      throw new UnknownOutcomeError('the connection brought the answer of another request');
+    }
+    if (headers[names.notExecuted] !== undefined) {
+      answer.discard();
+      const reason =
+        status === MISDIRECTED ? 'another instance is at the address' : 'the upstream sheds load';
+      throw new NotRunError(reason, { reachedUpstream: true });
+    }
+    const isUnsigned = names.signature !== undefined && headers[names.signature] === undefined;
+    if (isUnsigned && status < 400) {
+      answer.dispose();
+      throw new UnknownOutcomeError('the answer is not signed by the upstream');
+    }
+  }
+
+  private noteFailure(
+    error: Error,
+    { route, id }: AttemptContext,
+    pool: UpstreamPool,
+    elapsedMs: number,
+  ): void {
+    const { logger, onUnreachable } = this.services;
+    const neverSent = error instanceof ExchangeError && !error.sent;
+    const aborted = error instanceof ExchangeError && error.aborted;
+    if (!aborted) {
+      this.noteResult(true);
+      logger.log('The upstream gave no usable answer.', {
+        attempt: `${id.number}.${id.daemon}`,
+        route,
+        reason: error.message,
+        elapsedMs: Math.round(elapsedMs),
+      });
+    }
+    if (neverSent && !aborted) onUnreachable();
+    const silentMs = Math.max(
+      MIN_SILENT_MS,
+      SILENT_FACTOR * (this.admission.durationMs(route) ?? 0),
+    );
+    if (aborted && elapsedMs > silentMs && this.pool === pool) this.renewPool();
+  }
+
+  /** Leaves connections that may have gone silent; what runs on them goes on. */
+  private renewPool(): void {
+    const silent = this.pool;
+    this.pool = this.services.openPool();
+    void silent.close();
+    this.services.logger.log('Renewed the connections to the upstream.', { address: this.address });
+  }
+
+  private noteResult(failed: boolean): void {
+    this.failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - this.failureShare);
+  }
+
+  private withLoad(error: NotRunError, context: AttemptContext): NotRunError {
+    const load = this.loadFor(context);
+    return new NotRunError(error.message, { retryAfterMs: load.waitMs, ...error.details, load });
+  }
+
   private close(): void {
     this.open -= 1;
     if (this.open > 0) return;
@@ -152,6 +269,7 @@
   }
 
   private static translate(error: Error): Error {
+    if (error instanceof NotRunError) return error;
     if (error instanceof ExchangeError && !error.sent) {
       return new NotRunError(`the upstream can't be reached: ${error.message}`);
     }
--- /dev/null
+++ b/src/request/PeerLiveness.ts
@@ -0,0 +1,151 @@
+import type { Address, Clock, Disposable, Logger } from '../common/Types';
+import type { Liveness } from './Types';
+
+/** How often awaited daemons are looked at, in milliseconds. */
+const CHECK_MS = 50;
+/** Probes without an answer, in a row, after which a daemon counts as lost; one may be dropped. */
+const PROBES_BEFORE_LOST = 2;
+/** Pause between probes of a lost daemon, in milliseconds. */
+const LOST_PROBE_MS = 400;
+/** Probes of a lost daemon after which it is asked no more until a call goes to it again. */
+const MAX_LOST_PROBES = 150;
+
+/** Settings of the watch, in milliseconds. */
+export interface PeerLivenessOptions {
+  /** Time without a sign of an awaited daemon after which it is probed. */
+  readonly silenceMs: number;
+}
+
+interface Watch {
+  readonly since: number;
+  readonly onLost: () => void;
+}
+
+interface Peer {
+  heardAt: number;
+  probing: boolean;
+  lost: boolean;
+  readonly watches: Set<Watch>;
+}
+
+/**
+ * Finds daemons that stopped answering while calls wait for them.
+ *
+ * Load it answers: VMs that are cut off, frozen or without power, whose connections stay open and
+ * silent. Waiting for each call's deadline would hold every call placed there; here the first
+ * silence of a daemon starts a probe on a new connection, and its loss frees all calls at once.
+ */
+export default class PeerLiveness implements Liveness, Disposable {
+  private readonly peers = new Map<Address, Peer>();
+
+  private readonly timer: NodeJS.Timeout;
+
+  private disposed = false;
+
+  /**
+   * @param probe - Asks a daemon on a new connection; resolves to whether it answered in time.
+   * @param options - When to probe.
+   * @param clock - Source of time.
+   * @param logger - Log of this part.
+   */
+  public constructor(
+    private readonly probe: (address: Address) => Promise<boolean>,
+    private readonly options: PeerLivenessOptions,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    this.timer = setInterval(() => this.check(), CHECK_MS).unref();
+  }
+
+  public isLost(address: Address): boolean {
+    return this.peers.get(address)?.lost ?? false;
+  }
+
+  public heard(address: Address): void {
+    this.found(address);
+  }
+
+  public refused(address: Address): void {
+    const peer = this.peer(address);
+    if (!peer.lost) this.lose(address, 'it takes no connection');
+  }
+
+  public watch(address: Address, onLost: () => void): Disposable {
+    const peer = this.peer(address);
+    const watch: Watch = { since: this.clock.now(), onLost };
+    peer.watches.add(watch);
+    return { dispose: () => peer.watches.delete(watch) };
+  }
+
+  public dispose(): void {
+    this.disposed = true;
+    clearInterval(this.timer);
+  }
+
+  private check(): void {
+    const now = this.clock.now();
+    for (const [address, peer] of this.peers) {
+      const [oldest] = peer.watches;
+      if (!oldest || peer.probing || peer.lost) continue;
+      if (now - Math.max(oldest.since, peer.heardAt) < this.options.silenceMs) continue;
+      void this.probeSilent(address);
+    }
+  }
+
+  private async probeSilent(address: Address): Promise<void> {
+    const peer = this.peer(address);
+    peer.probing = true;
+    const { heardAt } = peer;
+    try {
+      for (let failed = 0; failed < PROBES_BEFORE_LOST; failed += 1) {
+        if (await this.probe(address)) {
+          this.found(address);
+          return;
+        }
+        // An answer to a call meanwhile says as much as one to the probe.
+        if (peer.heardAt !== heardAt) return;
+      }
+    } finally {
+      peer.probing = false;
+    }
+    this.lose(address, 'it did not answer probes');
+  }
+
+  private lose(address: Address, reason: string): void {
+    const peer = this.peer(address);
+    peer.lost = true;
+    this.logger.log('Lost a daemon.', { address, reason, calls: peer.watches.size });
+    for (const { onLost } of [...peer.watches]) onLost();
+    void this.awaitReturn(address);
+  }
+
+  private async awaitReturn(address: Address): Promise<void> {
+    const peer = this.peer(address);
+    for (let probes = 0; probes < MAX_LOST_PROBES && peer.lost; probes += 1) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, LOST_PROBE_MS).unref();
+      });
+      if (this.disposed || !peer.lost) return;
+      if (await this.probe(address)) this.found(address);
+    }
+    // It may have left for good; a call that comes to it finds out anew.
+    if (peer.lost) this.peers.delete(address);
+  }
+
+  private found(address: Address): void {
+    const peer = this.peer(address);
+    peer.heardAt = this.clock.now();
+    if (!peer.lost) return;
+    peer.lost = false;
+    this.logger.log('A lost daemon answers again.', { address });
+  }
+
+  private peer(address: Address): Peer {
+    let peer = this.peers.get(address);
+    if (!peer) {
+      peer = { heardAt: -Infinity, probing: false, lost: false, watches: new Set() };
+      this.peers.set(address, peer);
+    }
+    return peer;
+  }
+}
--- a/src/request/PeerPools.ts
+++ b/src/request/PeerPools.ts
@@ -1,7 +1,6 @@
 import { Pool } from 'undici';
 import type { Address, Clock, Disposable } from '../common/Types';
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 60_000;
 const FORGET_AFTER_MS = 300_000;
 
@@ -16,10 +15,12 @@
 
   /**
    * @param connections - Connections to one address.
+   * @param connectMs - Longest wait for a connection, in milliseconds.
    * @param clock - Source of time.
    */
   public constructor(
     private readonly connections: number,
+    private readonly connectMs: number,
     private readonly clock: Clock,
   ) {}
 
@@ -67,7 +68,7 @@
     return new Pool(`http://${address}`, {
       connections: this.connections,
       pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MS,
+      connectTimeout: this.connectMs,
       keepAliveTimeout: KEEP_ALIVE_MS,
     });
   }
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -1,10 +1,11 @@
 import type { Clock } from '../common/Types';
 import {
-  LOAD_HEADER,
   OUTCOME_HEADER,
+  parseLoad,
   peerCallHeaders,
-  positiveHeader,
+  REACHED_HEADER,
   REASON_HEADER,
+  ROOM_HEADER,
 } from './callHeaders';
 import CALLER_LEFT from './callerLeft';
 import exchange from './exchange';
@@ -18,11 +19,15 @@
   AttemptState,
   AttemptTransport,
   CallRequest,
+  Liveness,
   Upstream,
 } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
 
+/** Longest pause within a body before its connection counts as silent. */
 const BODY_TIMEOUT_MS = 30_000;
+/** Socket errors of connections that were never opened. */
+const UNREACHABLE_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 
 /**
  * Asks an upstream's daemon, on a new connection, what became of an attempt, and forbids it if it
@@ -45,12 +50,14 @@
   /**
    * @param pools - Connections to other daemons.
    * @param fence - Resolves attempts on connections that failed or fell silent.
+   * @param liveness - Watches whether other daemons answer at all.
    * @param silenceMs - How long to wait for an answer's head before asking, in milliseconds.
    * @param clock - Source of time.
    */
   public constructor(
     private readonly pools: PeerPools,
     private readonly fence: Fence,
+    private readonly liveness: Liveness,
     private readonly silenceMs: number,
     private readonly clock: Clock,
   ) {}
@@ -64,10 +71,15 @@
     const pool = this.pools.get(upstream.address);
     let abort: () => void;
     let verdict: Error | undefined;
-    const watch = this.watch(upstream, context, (error) => {
+    const giveUp = (error: Error) => {
       verdict = error;
       this.pools.leave(upstream.address, pool);
       abort();
+    };
+    const watch = this.watch(upstream, context, giveUp);
+    const life = this.liveness.watch(upstream.address, () => {
+      // What may run only once has nothing to gain: its answer may still come.
+      if (context.idempotent) giveUp(new UnknownOutcomeError('the daemon stopped answering'));
     });
     try {
       const answer = await exchange({
@@ -82,15 +94,20 @@
           abort = cancel;
         },
       });
-      return await PeerTransport.judge(answer);
+      this.liveness.heard(upstream.address);
+      return PeerTransport.judge(answer);
     } catch (error) {
       if (verdict) throw verdict;
       if (!(error instanceof ExchangeError)) throw error;
       if (signal.reason === CALLER_LEFT) throw new UnknownOutcomeError('the caller left');
+      if (error.code !== undefined && UNREACHABLE_CODES.has(error.code)) {
+        this.liveness.refused(upstream.address);
+      }
       throw await this.resolve(upstream, context, error);
     } finally {
       clearTimeout(watch.timer);
       watch.stopped = true;
+      life.dispose();
     }
   }
 
@@ -122,6 +139,8 @@
     error: ExchangeError,
   ): Promise<Error> {
     if (!error.sent) return new NotRunError(`never sent: ${error.message}`);
+    // What may run again is tried elsewhere sooner than its first attempt can be judged.
+    if (context.idempotent) return new UnknownOutcomeError(error.message);
     return PeerTransport.verdict(await this.fence(upstream, context, true), error.message);
   }
 
@@ -132,14 +151,19 @@
   }
 
   /** Tells an answer of the upstream from a refusal of its daemon. */
-  private static async judge(answer: StreamedAnswer): Promise<Answer> {
-    const outcome = answer.headers[OUTCOME_HEADER];
-    if (outcome === 'answered') return answer;
-    const load = positiveHeader(answer.headers, LOAD_HEADER, 0);
-    const reason = String(answer.headers[REASON_HEADER] ?? 'no reason given');
-    // The rest of a refusal is read, so that its connection can be used again.
-    void answer.pipe({ write: () => true, onDrain: () => undefined }).catch(() => undefined);
-    if (outcome === 'not-run') throw new NotRunError(reason, load);
-    throw new UnknownOutcomeError(reason);
+  private static judge(answer: StreamedAnswer): Answer {
+    const { headers } = answer;
+    const load = parseLoad(headers);
+    const outcome = headers[OUTCOME_HEADER];
+    if (outcome === 'answered') return Object.assign(answer, { load });
+    const reason = String(headers[REASON_HEADER] ?? 'no reason given');
+    answer.discard();
+    if (outcome !== 'not-run') throw new UnknownOutcomeError(reason);
+    const roomMs = Number(headers[ROOM_HEADER]);
+    throw new NotRunError(reason, {
+      load,
+      retryAfterMs: Number.isFinite(roomMs) ? roomMs : undefined,
+      reachedUpstream: headers[REACHED_HEADER] !== undefined,
+    });
   }
 }
--- a/src/request/StreamedAnswer.ts
+++ b/src/request/StreamedAnswer.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
 import BrokenAnswerError from './BrokenAnswerError';
-import type { Answer, AnswerSink } from './Types';
+import type { Answer, AnswerSink, UpstreamLoad } from './Types';
 
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
@@ -9,6 +9,8 @@
 
 /** An answer whose body is held back, up to a bound, until someone takes it. */
 export default class StreamedAnswer implements Answer {
+  public load: UpstreamLoad | undefined;
+
   private chunks: Buffer[] = [];
 
   private bufferedBytes = 0;
@@ -47,6 +49,11 @@
     });
   }
 
+  /** Reads the rest and drops it, so that its connection can be used again. */
+  public discard(): void {
+    void this.pipe({ write: () => true, onDrain: () => undefined }).catch(() => undefined);
+  }
+
   public dispose(): void {
     if (this.state !== 'open') return;
     this.controller.abort(new BrokenAnswerError('the answer was given up'));
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -10,10 +10,30 @@
   DaemonId,
   Disposable,
   Incarnation,
+  RequestId,
+  RouteName,
   ServiceName,
   ZoneName,
 } from '../common/Types';
-import type { Priority, Service } from '../version/Types';
+import type { Priority } from '../version/Types';
+
+/** Names of the headers that callers and upstreams use, in lower case. */
+export interface HeaderNames {
+  /** On requests: the caller's id, passed on as it came. On answers: the same id, echoed. */
+  readonly requestId: string;
+  /** On requests: milliseconds that the sender will wait. */
+  readonly deadlineMs: string;
+  /** On requests to upstreams: the service beside which the call began. */
+  readonly callerService: string;
+  /** On requests to upstreams: the only instance that may run the request. */
+  readonly expectedInstance: string;
+  /** On answers: the upstream says that it did not run the request. */
+  readonly notExecuted: string;
+  /** On answers: made by the upstream; `undefined` where upstreams don't sign. */
+  readonly signature: string | undefined;
+  /** On answers to health checks: the instance that answers. */
+  readonly instance: string;
+}
 
 /** What a caller is told about its call. */
 export type Outcome = 'answered' | 'not-run' | 'unknown';
@@ -42,6 +62,8 @@
   readonly healthHint: boolean;
   /** Monotonic time in ms since which it serves, as far as this daemon saw. */
   readonly servingSince: number;
+  /** Calls that it runs at the same time; `undefined` leaves it to the service's declaration. */
+  readonly slots: number | undefined;
 }
 
 /** Where calls can go. */
@@ -56,8 +78,12 @@
 /** A request held whole, so that it can be sent again. */
 export interface CallRequest {
   readonly method: string;
+  /** Host header, as it came. */
+  readonly host: string;
   /** Path with the query. */
   readonly path: string;
+  /** The caller's id; `undefined` where it sent none. */
+  readonly requestId: RequestId | undefined;
   readonly headers: readonly string[];
   readonly body: Buffer | null;
 }
@@ -66,9 +92,16 @@
 export interface AttemptContext {
   readonly id: AttemptId;
   readonly service: ServiceName;
+  readonly route: RouteName;
   readonly priority: Priority;
+  /** Whether it may run more than once; known to the daemon that sends it only. */
+  readonly idempotent: boolean;
   /** Monotonic time in ms by which the caller wants the answer. */
   readonly deadline: number;
+  /** Monotonic time in ms by which the answer is as useful as an immediate one. */
+  readonly objective: number;
+  /** Service beside which the call began. */
+  readonly callerService: ServiceName | undefined;
   /** Attempts made so far on this level and those above it. */
   readonly attempts: number;
 }
@@ -77,6 +110,8 @@
 export interface Answer extends Disposable {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
+  /** Load of the upstream, where its daemon told it. */
+  readonly load?: UpstreamLoad;
   /**
    * Hands the body over with backpressure, once.
    *
@@ -116,31 +151,89 @@
   ): Promise<Answer>;
 }
 
+/** What the daemon beside an upstream tells of it, with answers and refusals; milliseconds. */
+export interface UpstreamLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** What a call that arrives now would wait for a slot. */
+  readonly waitMs: number;
+  /** What calls of the route take at it; `undefined` before any was seen. */
+  readonly durationMs: number | undefined;
+  /** Share of the latest calls that it failed, 0 to 1. */
+  readonly failureShare: number;
+}
+
+/** What a call is placed by. */
+export interface Placement {
+  readonly service: ServiceName;
+  readonly route: RouteName;
+  /** Slots of an upstream that hasn't told its own. */
+  readonly slots: number;
+  /** Milliseconds that are left until the answer is late. */
+  readonly objectiveMs: number;
+  /** Daemons that this call tried already. */
+  readonly exclude: ReadonlySet<DaemonId>;
+}
+
 /** Chooses among the upstreams of a service and learns from what calls show. */
 export interface Balancer {
   /**
-   * @param service - The service in its current version.
-   * @param exclude - Daemons that this call tried already.
+   * @param placement - What the call is placed by.
    * @returns An upstream, or `undefined` where none is left.
    */
-  choose(service: Service, exclude: ReadonlySet<DaemonId>): Upstream | undefined;
+  choose(placement: Placement): Upstream | undefined;
   /** @param upstream - An attempt to it begins. */
   begin(upstream: Upstream): void;
   /**
    * @param upstream - The attempt to it ended.
+   * @param route - Route of the call.
    * @param result - What it showed.
    */
-  end(upstream: Upstream, result: AttemptResult): void;
+  end(upstream: Upstream, route: RouteName, result: AttemptResult): void;
   /**
    * @param service - Name of the service.
+   * @param route - A route to it.
    * @returns Milliseconds that its answers take on average.
    */
-  latencyMs(service: ServiceName): number;
+  latencyMs(service: ServiceName, route: RouteName): number;
+  /**
+   * @param upstream - An upstream.
+   * @returns What was last heard of its load and how many milliseconds ago, for the log.
+   */
+  known(upstream: Upstream): KnownLoad | undefined;
+}
+
+/** A load as it was last heard of. */
+export interface KnownLoad {
+  readonly load: UpstreamLoad;
+  readonly ageMs: number;
 }
 
 /** What one attempt showed about its upstream. */
 export type AttemptResult =
-  | { readonly kind: 'answered'; readonly latencyMs: number; readonly load: number | undefined }
-  | { readonly kind: 'refused'; readonly load: number | undefined }
+  | { readonly kind: 'answered'; readonly latencyMs: number; readonly load?: UpstreamLoad }
+  | { readonly kind: 'refused'; readonly load?: UpstreamLoad }
   | { readonly kind: 'failed' }
   | { readonly kind: 'cancelled' };
+
+/** Watches whether other daemons answer at all. */
+export interface Liveness {
+  /**
+   * @param address - Of a daemon.
+   * @returns Whether it was found not to answer and hasn't answered since.
+   */
+  isLost(address: Address): boolean;
+  /** @param address - A daemon that has just answered something. */
+  heard(address: Address): void;
+  /** @param address - A daemon that refused a connection. */
+  refused(address: Address): void;
+  /**
+   * Watches a daemon while an answer of it is awaited.
+   *
+   * @param address - The daemon.
+   * @param onLost - Called once if it is found not to answer.
+   * @returns Ends the watch.
+   */
+  watch(address: Address, onLost: () => void): Disposable;
+}
--- a/src/request/callHeaders.ts
+++ b/src/request/callHeaders.ts
@@ -4,27 +4,36 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from 'node:http';
-import type { AttemptNumber, DaemonId, Incarnation, ServiceName } from '../common/Types';
-import type { AttemptContext, AttemptId, CallRequest } from './Types';
+import type {
+  AttemptNumber,
+  DaemonId,
+  Incarnation,
+  InstanceId,
+  RouteName,
+  ServiceName,
+} from '../common/Types';
+import type { AttemptContext, AttemptId, CallRequest, HeaderNames, UpstreamLoad } from './Types';
 
-/** Prefix of every header of azurestream. */
+/** Prefix of the product's own headers. */
 const PREFIX = 'x-azurestream-';
 
 /** What became of a call: answered, not-run or unknown. */
 export const OUTCOME_HEADER = 'x-azurestream-outcome';
 /** Why a call has no answer, in words. */
 export const REASON_HEADER = 'x-azurestream-reason';
-/** Milliseconds that are left for a call. */
-export const DEADLINE_HEADER = 'x-azurestream-deadline-ms';
 /** Attempts made for a call so far, on all levels above. */
 export const ATTEMPTS_HEADER = 'x-azurestream-attempts';
-/** Calls running and waiting at an upstream, in parts of its slots. */
+/** Load of the upstream, from the daemon beside it. */
 export const LOAD_HEADER = 'x-azurestream-load';
+/** Milliseconds after which a daemon expects room. */
+export const ROOM_HEADER = 'x-azurestream-room-ms';
 
-const ATTEMPT_HEADER = 'x-azurestream-attempt';
-const TARGET_HEADER = 'x-azurestream-target';
-const SERVICE_HEADER = 'x-azurestream-service';
-const PRIORITY_HEADER = 'x-azurestream-priority';
+/** The upstream itself turned the call away. */
+export const REACHED_HEADER = 'x-azurestream-reached-upstream';
+
+/** One attempt between daemons: all its parts in one header, for few bytes between zones. */
+const CALL_HEADER = 'x-azurestream-call';
+const CALL_PARTS = 9;
 
 /** @see {@link https://www.rfc-editor.org/rfc/rfc9110#section-7.6.1} */
 const HOP_BY_HOP = new Set([
@@ -52,21 +61,34 @@
   return new Set(connection.split(',').map((name) => name.trim().toLowerCase()));
 }
 
+/** Whether a header of a request is the daemons' to set, whatever a caller sent. */
+function isOwn(name: string, names: HeaderNames): boolean {
+  if (name === names.requestId) return false;
+  return (
+    name.startsWith(PREFIX) ||
+    name === names.deadlineMs ||
+    name === names.callerService ||
+    name === names.expectedInstance
+  );
+}
+
 /**
  * @param rawHeaders - Names and values in turn, as they came.
  * @param connection - Value of the Connection header.
+ * @param names - Names of the callers' headers.
  * @returns Those that may be passed on.
  */
-export function forwardedHeaders(rawHeaders: readonly string[], connection?: string): string[] {
+export function forwardedHeaders(
+  rawHeaders: readonly string[],
+  connection: string | undefined,
+  names: HeaderNames,
+): string[] {
   const named = namedByConnection(connection);
   const kept: string[] = [];
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index]!.toLowerCase();
     const drop =
-      HOP_BY_HOP.has(name) ||
-      name === 'content-length' ||
-      name.startsWith(PREFIX) ||
-      named.has(name);
+      HOP_BY_HOP.has(name) || name === 'content-length' || isOwn(name, names) || named.has(name);
     if (!drop) kept.push(rawHeaders[index]!, rawHeaders[index + 1]!);
   }
   return kept;
@@ -74,18 +96,27 @@
 
 /**
  * @param headers - Headers of an answer.
+ * @param names - Names of the upstreams' headers.
  * @returns Those that may be passed on.
  */
-export function answerHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
+export function answerHeaders(
+  headers: IncomingHttpHeaders,
+  names: HeaderNames,
+): Record<string, string | string[]> {
   const named = namedByConnection(headers.connection);
   const kept: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(headers)) {
-    const drop = HOP_BY_HOP.has(name) || name.startsWith(PREFIX) || named.has(name);
-    if (!drop && value !== undefined) kept[name] = value;
+    const drop = HOP_BY_HOP.has(name) || named.has(name);
+    const internal = name.startsWith(PREFIX) && name !== names.requestId;
+    if (!drop && !internal && value !== undefined) kept[name] = value;
   }
   return kept;
 }
 
+function millisecondsLeft(until: number, now: number): number {
+  return Math.max(1, Math.round(until - now));
+}
+
 /**
  * @param request - The call.
  * @param context - What travels with it.
@@ -100,41 +131,46 @@
   now: number,
 ): string[] {
   const { daemon, incarnation, number } = context.id;
-  return [
-    ...request.headers,
-    ATTEMPT_HEADER,
+  const parts = [
     `${incarnation}.${number}.${daemon}`,
-    TARGET_HEADER,
-    String(target),
-    SERVICE_HEADER,
+    target,
     context.service,
-    PRIORITY_HEADER,
+    context.route,
     context.priority,
-    DEADLINE_HEADER,
-    String(Math.max(1, Math.round(context.deadline - now))),
-    ATTEMPTS_HEADER,
-    String(context.attempts),
+    millisecondsLeft(context.deadline, now),
+    // May be negative: an answer that is late already.
+    Math.round(context.objective - now),
+    context.attempts,
+    context.callerService ?? '',
   ];
+  return [...request.headers, CALL_HEADER, parts.join(';')];
 }
 
 /**
  * @param request - The call.
  * @param context - What travels with it.
+ * @param instance - The instance that may run it, where it is known.
+ * @param names - Names of the upstream's headers.
  * @param now - Monotonic time in ms.
- * @returns Headers for the upstream, which passes them on with the calls that it makes in turn.
+ * @returns Headers for the upstream, which passes the attempts on with the calls that it makes.
  */
 export function upstreamHeaders(
   request: CallRequest,
   context: AttemptContext,
+  instance: InstanceId | undefined,
+  names: HeaderNames,
   now: number,
 ): string[] {
-  return [
+  const headers = [
     ...request.headers,
-    DEADLINE_HEADER,
-    String(Math.max(1, Math.round(context.deadline - now))),
+    names.deadlineMs,
+    String(millisecondsLeft(context.deadline, now)),
     ATTEMPTS_HEADER,
     String(context.attempts),
   ];
+  if (context.callerService) headers.push(names.callerService, context.callerService);
+  if (instance) headers.push(names.expectedInstance, instance);
+  return headers;
 }
 
 /**
@@ -152,6 +188,36 @@
   return Number.isFinite(value) && value > 0 ? value : fallback;
 }
 
+/**
+ * @param load - Load of the upstream beside this daemon.
+ * @returns Value of the load header.
+ */
+export function formatLoad(load: UpstreamLoad): string {
+  const { running, waiting, slots, waitMs, durationMs, failureShare } = load;
+  const duration = durationMs === undefined ? '' : Math.round(durationMs);
+  return [running, waiting, slots, Math.round(waitMs), duration, failureShare.toFixed(2)].join(',');
+}
+
+/**
+ * @param headers - Headers of an answer from a peer.
+ * @returns The load that it tells, or `undefined` where it tells none.
+ */
+export function parseLoad(headers: IncomingHttpHeaders): UpstreamLoad | undefined {
+  const text = headers[LOAD_HEADER];
+  if (typeof text !== 'string') return undefined;
+  const [running, waiting, slots, waitMs, duration, failureShare] = text.split(',');
+  const load = {
+    running: Number(running),
+    waiting: Number(waiting),
+    slots: Number(slots),
+    waitMs: Number(waitMs),
+    durationMs: duration ? Number(duration) : undefined,
+    failureShare: Number(failureShare),
+  };
+  const numbers = [load.running, load.waiting, load.slots, load.waitMs, load.failureShare];
+  return numbers.every(Number.isFinite) && load.slots > 0 ? load : undefined;
+}
+
 function parseAttempt(text: string): AttemptId {
   const [incarnation, number, ...daemon] = text.split('.');
   return {
@@ -167,19 +233,29 @@
  * @returns The call, or `undefined` where this is none.
  */
 export function parsePeerCall(headers: IncomingHttpHeaders, now: number): PeerCall | undefined {
-  const attempt = headers[ATTEMPT_HEADER];
-  const service = headers[SERVICE_HEADER];
-  if (typeof attempt !== 'string' || typeof service !== 'string') return undefined;
+  const text = headers[CALL_HEADER];
+  const parts = typeof text === 'string' ? text.split(';') : [];
+  if (parts.length !== CALL_PARTS) return undefined;
+  const [attempt, target, service, route, priority, deadlineMs, objectiveMs, attempts, caller] =
+    parts as [string, string, string, string, string, string, string, string, string];
   const id = parseAttempt(attempt);
-  if (!Number.isSafeInteger(id.number) || !Number.isSafeInteger(id.incarnation)) return undefined;
+  const numbers = [id.number, id.incarnation, Number(target), Number(priority), Number(attempts)];
+  if (!numbers.every(Number.isSafeInteger)) return undefined;
+  if (!Number.isFinite(Number(deadlineMs)) || !Number.isFinite(Number(objectiveMs))) {
+    return undefined;
+  }
   return {
-    target: Number(headers[TARGET_HEADER]) as Incarnation,
+    target: Number(target) as Incarnation,
     context: {
       id,
       service: service as ServiceName,
-      priority: headers[PRIORITY_HEADER] === 'background' ? 'background' : 'interactive',
-      deadline: now + positiveHeader(headers, DEADLINE_HEADER, 1),
-      attempts: positiveHeader(headers, ATTEMPTS_HEADER, 1),
+      route: route as RouteName,
+      priority: Number(priority),
+      idempotent: false,
+      deadline: now + Number(deadlineMs),
+      objective: now + Number(objectiveMs),
+      attempts: Number(attempts),
+      callerService: caller ? (caller as ServiceName) : undefined,
     },
   };
 }
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -38,7 +38,7 @@
     this.cancelled = true;
     this.answer?.fail('aborted');
     if (this.controller) this.controller.abort(new Error('aborted'));
-    else this.reject(new ExchangeError('aborted before it was sent', false));
+    else this.reject(new ExchangeError('aborted before it was sent', false, true));
   };
 
   public constructor(
@@ -80,7 +80,10 @@
   public onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     this.signal.removeEventListener('abort', this.abort);
     if (this.answer) this.answer.fail(error.message);
-    else this.reject(new ExchangeError(error.message, this.started));
+    else {
+      const { code } = error as NodeJS.ErrnoException;
+      this.reject(new ExchangeError(error.message, this.started, this.cancelled, code));
+    }
   }
 }
 
--- a/src/request/readRequest.ts
+++ b/src/request/readRequest.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage } from 'node:http';
+import type { RequestId } from '../common/Types';
 import { forwardedHeaders } from './callHeaders';
 import RequestError from './RequestError';
-import type { CallRequest } from './Types';
+import type { CallRequest, HeaderNames } from './Types';
 
 /**
  * Refuses what two servers could read in two ways. The HTTP parser itself refuses bare line feeds
@@ -39,18 +40,23 @@
  *
  * @param message - The request.
  * @param maxBytes - Largest body.
+ * @param names - Names of the callers' headers.
  * @returns The request without what concerns only this hop.
  * @throws RequestError - It is malformed or too large.
  */
 export default async function readRequest(
   message: IncomingMessage,
   maxBytes: number,
+  names: HeaderNames,
 ): Promise<CallRequest> {
   refuseAmbiguous(message);
+  const requestId = message.headers[names.requestId];
   return {
     method: message.method!,
+    host: message.headers.host!,
     path: message.url!,
-    headers: forwardedHeaders(message.rawHeaders, message.headers.connection),
+    requestId: typeof requestId === 'string' ? (requestId as RequestId) : undefined,
+    headers: forwardedHeaders(message.rawHeaders, message.headers.connection, names),
     body: await readBody(message, maxBytes),
   };
 }
--- a/src/version/BuiltSnapshot.ts
+++ b/src/version/BuiltSnapshot.ts
@@ -12,7 +12,7 @@
     this.table = new RouteTable(configuration.routes.values());
   }
 
-  public match(method: string, path: string): Route | undefined {
-    return this.table.match(method, path);
+  public match(method: string, host: string, path: string): Route | undefined {
+    return this.table.match(method, host, path);
   }
 }
--- a/src/version/Types.ts
+++ b/src/version/Types.ts
@@ -39,8 +39,25 @@
   readonly expected: string;
 }
 
-/** Which calls of a service go first when its slots are taken. */
-export type Priority = 'interactive' | 'background';
+/** Rank of a route's calls when slots are taken: 0 goes first. */
+export type Priority = number;
+
+/** One of the services that share a route's calls. */
+export interface WeightedService {
+  readonly service: ServiceName;
+  /** Share of the calls, relative to the other weights of the route. */
+  readonly weight: number;
+}
+
+/** Bounds on what a caller may send, and on how long it may take. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  /** Longest time for a request's head to come in, in milliseconds. */
+  readonly headerTimeoutMs: number;
+  /** How long a connection may stay idle between requests, in milliseconds. */
+  readonly idleTimeoutMs: number;
+}
 
 /** A `[service.NAME]` table with its defaults filled in. */
 export interface Service {
@@ -53,17 +70,24 @@
   readonly queue: number;
   /** Milliseconds over which a new upstream's share ramps up. */
   readonly warmUpMs: number;
+  /** Path at which an upstream tells whether it is sound; `undefined` where none does. */
+  readonly health: string | undefined;
 }
 
 /** A `[route.NAME]` table with its defaults filled in. */
 export interface Route {
   readonly name: RouteName;
-  readonly service: ServiceName;
-  /** Matches this path and everything below it. */
+  /** Host that the route is for; `undefined` matches every host. */
+  readonly host: string | undefined;
+  /** Where calls go; at least one entry, several for a weighted split. */
+  readonly targets: readonly WeightedService[];
+  /** Matches this path and everything below it; with a final slash, only what is below it. */
   readonly path: string;
   readonly methods: readonly string[];
   /** Milliseconds that a call may take as a whole. */
   readonly timeoutMs: number;
+  /** Milliseconds within which an answer is as useful as an immediate one. */
+  readonly objectiveMs: number;
   /** `undefined` leaves it to the method, as HTTP defines it. */
   readonly idempotent: boolean | undefined;
   readonly priority: Priority;
@@ -88,6 +112,8 @@
   readonly routes: ReadonlyMap<RouteName, Route>;
   /** Share of calls that may be retried or hedged, 0 to 1. */
   readonly retryBudget: number;
+  /** `undefined` leaves the limits of the settings in force. */
+  readonly limits: CallerLimits | undefined;
   readonly provenance: readonly Provenance[];
 }
 
@@ -152,10 +178,12 @@
   readonly configuration: Configuration;
   /**
    * @param method - HTTP method.
+   * @param host - Host header.
    * @param path - Path without the query.
-   * @returns The route with the longest matching path that allows the method.
+   * @returns The route of that host, or of every host, with the longest matching path that allows
+   * the method.
    */
-  match(method: string, path: string): Route | undefined;
+  match(method: string, host: string, path: string): Route | undefined;
 }
 
 /** The version in force on this daemon. */
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -9,16 +9,22 @@
 import { DURATION_EXPECTED, parseDuration } from '../common/parseDuration';
 
 /** Number of the schema that this release reads and writes. */
-export const SCHEMA_NUMBER = 1;
+export const SCHEMA_NUMBER = 2;
 
 const MAX_SLOTS = 10_000;
 const MAX_CONNECTIONS = 10_000;
 const MAX_QUEUE = 100_000;
-const MAX_RETRIES = 5;
+const MAX_RETRIES = 20;
 const MAX_TIMEOUT_MS = 3_600_000;
+const MAX_PRIORITY = 100;
+const MAX_WEIGHT = 1_000_000;
+const MAX_LIMIT_BYTES = 1_073_741_824;
+/** Ranks of the two named priorities. */
+const NAMED_PRIORITIES = { interactive: 0, background: 1 } as const;
 
 const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
 const PATH = /^\/[^\s?#]*$/;
+const HOST = /^[a-z0-9.[\]:-]{1,255}$/;
 
 /** Methods that a route may name; all of them where it names none. */
 export const METHODS = ['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH'] as const;
@@ -51,11 +57,31 @@
   connections: integer(1, MAX_CONNECTIONS).default(120),
   queue: integer(0, MAX_QUEUE).optional(),
   warm_up: durationMs(MAX_TIMEOUT_MS).default(0),
+  health: z
+    .string({ error: 'a path that begins with /' })
+    .regex(PATH, { error: 'a path that begins with /, without query or spaces' })
+    .optional(),
 });
 
-/** A `[route.NAME]` table. */
+const priorityExpected = `"interactive", "background" or a whole number from 0 to ${MAX_PRIORITY}`;
+const splitExpected = 'a table of service names and positive weights';
+
+/** A `[route.NAME]` table; it names either one service or a split. */
 export const routeSchema = z.strictObject({
-  service: nameSchema,
+  host: z
+    .string({ error: 'a host name' })
+    .regex(HOST, { error: 'a host name in lower case' })
+    .optional(),
+  service: nameSchema.optional(),
+  split: z
+    .record(nameSchema, z.number({ error: splitExpected }).positive({ error: splitExpected }), {
+      error: splitExpected,
+    })
+    .refine((split) => Object.keys(split).length > 0, { error: splitExpected })
+    .refine((split) => Object.values(split).every((weight) => weight <= MAX_WEIGHT), {
+      error: `weights of at most ${MAX_WEIGHT}`,
+    })
+    .optional(),
   path: z
     .string({ error: 'a path that begins with /' })
     .regex(PATH, { error: 'a path that begins with /, without query or spaces' }),
@@ -66,10 +92,17 @@
     .min(1, { error: 'at least one method' })
     .optional(),
   timeout: durationMs(MAX_TIMEOUT_MS).optional(),
+  objective: durationMs(MAX_TIMEOUT_MS).optional(),
   idempotent: boolean.optional(),
   priority: z
-    .enum(['interactive', 'background'], { error: '"interactive" or "background"' })
-    .default('interactive'),
+    .union(
+      [
+        z.enum(['interactive', 'background']).transform((name) => NAMED_PRIORITIES[name]),
+        z.int().min(0).max(MAX_PRIORITY),
+      ],
+      { error: priorityExpected },
+    )
+    .default(NAMED_PRIORITIES.interactive),
   hedge: boolean.default(false),
   retries: integer(0, MAX_RETRIES).optional(),
 });
@@ -85,5 +118,13 @@
     .optional(),
 });
 
+/** The `[limits]` table; a later file replaces the whole of it. */
+export const limitsSchema = z.strictObject({
+  max_header_bytes: integer(1, MAX_LIMIT_BYTES),
+  max_body_bytes: integer(0, MAX_LIMIT_BYTES),
+  header_timeout: durationMs(MAX_TIMEOUT_MS),
+  idle_timeout: durationMs(MAX_TIMEOUT_MS),
+});
+
 /** Values of `[defaults]` where no file sets them. */
 export const DEFAULTS = { timeout: 10_000, retries: 2, retry_budget: 0.2 };
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -4,13 +4,24 @@
 import {
   DEFAULTS,
   defaultsSchema,
+  limitsSchema,
   METHODS,
   nameSchema,
   routeSchema,
   serviceSchema,
 } from './configurationSchema';
 import { describeFound, locateLine, schemaFaults } from './faults';
-import type { Fault, Folder, FolderFile, Merge, Provenance, Route, Service } from './Types';
+import type {
+  CallerLimits,
+  Fault,
+  Folder,
+  FolderFile,
+  Merge,
+  Provenance,
+  Route,
+  Service,
+  WeightedService,
+} from './Types';
 
 /** Largest folder in bytes of its files, so that a checkpoint of it fits one record of the log. */
 export const MAX_FOLDER_BYTES = 512 * 1024;
@@ -29,9 +40,13 @@
   readonly service: Section;
   readonly route: Section;
   readonly defaults: Section;
+  readonly limits: Section;
 }
 
-const SECTION_NAMES = ['service', 'route', 'defaults'] as const;
+const SECTION_NAMES = ['service', 'route', 'defaults', 'limits'] as const;
+
+/** Key under which the one `[limits]` table stands in its section. */
+const LIMITS_KEY = 'limits';
 
 function isTable(value: unknown): value is Record<string, unknown> {
   return value !== null && typeof value === 'object' && !Array.isArray(value);
@@ -53,7 +68,7 @@
     line: locateLine(file.content, key),
     key,
     found: 'an unknown key',
-    expected: 'a table [service.NAME], [route.NAME] or [defaults]',
+    expected: 'a table [service.NAME], [route.NAME], [defaults] or [limits]',
   };
 }
 
@@ -78,8 +93,11 @@
       faults.push(unknownSection(file, key));
       continue;
     }
-    for (const [name, value] of Object.entries(table)) {
-      addEntry(sections[sectionName], name, value, file);
+    if (sectionName === LIMITS_KEY) addEntry(sections.limits, LIMITS_KEY, table, file);
+    else {
+      for (const [name, value] of Object.entries(table)) {
+        addEntry(sections[sectionName], name, value, file);
+      }
     }
   }
   return faults;
@@ -115,6 +133,24 @@
   return merged as typeof DEFAULTS;
 }
 
+function parseLimits(section: Section, faults: Fault[]): CallerLimits | undefined {
+  const entry = section.get(LIMITS_KEY);
+  if (!entry) return undefined;
+  const { file, value } = entry;
+  const result = limitsSchema.safeParse(value);
+  if (result.success) {
+    return {
+      maxHeaderBytes: result.data.max_header_bytes,
+      maxBodyBytes: result.data.max_body_bytes,
+      headerTimeoutMs: result.data.header_timeout,
+      idleTimeoutMs: result.data.idle_timeout,
+    };
+  }
+  const place = { file: file.name, content: file.content, table: LIMITS_KEY };
+  faults.push(...schemaFaults(result.error, value, place));
+  return undefined;
+}
+
 function buildService(name: string, parsed: z.output<typeof serviceSchema>): Service {
   return {
     name: name as ServiceName,
@@ -122,20 +158,32 @@
     connections: parsed.connections,
     queue: parsed.queue ?? parsed.slots,
     warmUpMs: parsed.warm_up,
+    health: parsed.health,
   };
 }
 
+function targetsOf({ service, split }: z.output<typeof routeSchema>): WeightedService[] {
+  if (service !== undefined) return [{ service: service as ServiceName, weight: 1 }];
+  return Object.entries(split ?? {}).map(([name, weight]) => ({
+    service: name as ServiceName,
+    weight,
+  }));
+}
+
 function buildRoute(
   name: string,
   parsed: z.output<typeof routeSchema>,
   defaults: typeof DEFAULTS,
 ): Route {
+  const timeoutMs = parsed.timeout ?? defaults.timeout;
   return {
     name: name as RouteName,
-    service: parsed.service as ServiceName,
+    host: parsed.host,
+    targets: targetsOf(parsed),
     path: parsed.path,
     methods: parsed.methods ?? METHODS,
-    timeoutMs: parsed.timeout ?? defaults.timeout,
+    timeoutMs,
+    objectiveMs: parsed.objective ?? timeoutMs,
     idempotent: parsed.idempotent,
     priority: parsed.priority,
     hedge: parsed.hedge,
@@ -159,6 +207,28 @@
   };
 }
 
+/** Finds services that a route names and no file declares, and a route with none or two ways. */
+function targetFaults(
+  sections: Sections,
+  services: ReadonlyMap<ServiceName, Service>,
+  route: Route,
+): Fault[] {
+  const { service, split } = sections.route.get(route.name)!.value as Record<string, unknown>;
+  const key = split === undefined ? 'service' : 'split';
+  if ((service === undefined) === (split === undefined)) {
+    const found = service === undefined ? 'nothing' : 'a service and a split';
+    return [routeFault(sections, route, key, { found, expected: 'either a service or a split' })];
+  }
+  return route.targets
+    .filter((target) => !services.has(target.service))
+    .map((target) =>
+      routeFault(sections, route, key, {
+        found: `"${target.service}"`,
+        expected: 'a service that some file declares',
+      }),
+    );
+}
+
 /** Finds routes that name no declared service, and routes that match the same calls. */
 function crossFaults(
   sections: Sections,
@@ -168,17 +238,9 @@
   const faults: Fault[] = [];
   const owners = new Map<string, Route>();
   for (const route of routes) {
-    if (!services.has(route.service)) {
-      faults.push(
-        routeFault(sections, route, 'service', {
-          found: `"${route.service}"`,
-          expected: 'a service that some file declares',
-        }),
-      );
-    }
-    const taken = route.methods
-      .map((method) => owners.get(`${method} ${route.path}`))
-      .find(Boolean);
+    faults.push(...targetFaults(sections, services, route));
+    const place = `${route.host ?? ''}${route.path}`;
+    const taken = route.methods.map((method) => owners.get(`${method} ${place}`)).find(Boolean);
     if (taken) {
       faults.push(
         routeFault(sections, route, 'path', {
@@ -187,7 +249,7 @@
         }),
       );
     }
-    for (const method of route.methods) owners.set(`${method} ${route.path}`, route);
+    for (const method of route.methods) owners.set(`${method} ${place}`, route);
   }
   return faults;
 }
@@ -195,7 +257,7 @@
 function provenance(sections: Sections): Provenance[] {
   return SECTION_NAMES.flatMap((section) =>
     [...sections[section]].map(([name, { file, overrode }]) => ({
-      key: `${section}.${name}`,
+      key: section === LIMITS_KEY ? LIMITS_KEY : `${section}.${name}`,
       file: file.name,
       overrode,
     })),
@@ -224,9 +286,15 @@
  * @returns The configuration, or every fault found.
  */
 export function mergeFolder(folder: Folder): Merge {
-  const sections: Sections = { service: new Map(), route: new Map(), defaults: new Map() };
+  const sections: Sections = {
+    service: new Map(),
+    route: new Map(),
+    defaults: new Map(),
+    limits: new Map(),
+  };
   const faults = [...sizeFaults(folder), ...folder.flatMap((file) => collect(file, sections))];
   const defaults = parseDefaults(sections.defaults, faults);
+  const limits = parseLimits(sections.limits, faults);
   const parsedServices = parseEntries('service', sections.service, serviceSchema, faults);
   const parsedRoutes = parseEntries('route', sections.route, routeSchema, faults);
   const services = new Map(
@@ -242,6 +310,7 @@
       services,
       routes: new Map(routes.map((route) => [route.name, route])),
       retryBudget: defaults.retry_budget,
+      limits,
       provenance: provenance(sections),
     },
   };
--- a/stand-in/Fleet.ts
+++ b/stand-in/Fleet.ts
@@ -3,7 +3,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { createInterface } from 'node:readline';
+import { createInterface, type Interface } from 'node:readline';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { DaemonStatus } from '../src/process/Types';
 import type { LogFaults } from './LogServer';
@@ -12,6 +12,8 @@
 const PROGRAMS = process.env.AZURESTREAM_DIST ?? 'dist';
 const READY_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
+/** Start of the line that a process prints once it is ready. */
+const READY_LINE = /^\{"(listening|port)"/;
 
 /** A process of the fleet and the line it printed once it was ready. */
 export interface FleetProcess<Ready> {
@@ -193,8 +195,17 @@
       throw new Error(`${program} ${args.join(' ')} ended: ${problems}`);
     });
     exited.catch(() => undefined);
-    const [line] = (await Promise.race([once(lines, 'line'), exited])) as [string];
-    return { child, ready: JSON.parse(line) as Ready };
+    const ready = await Promise.race([Fleet.readyLine<Ready>(lines), exited]);
+    return { child, ready };
+  }
+
+  /** The line that says where a process listens; log lines may come before it. */
+  private static readyLine<Ready>(lines: Interface): Promise<Ready> {
+    return new Promise((resolve) => {
+      lines.on('line', (line) => {
+        if (READY_LINE.test(line)) resolve(JSON.parse(line) as Ready);
+      });
+    });
   }
 }
 
