--- a/src/connection/ConfigurationWatch.ts
+++ b/src/connection/ConfigurationWatch.ts
@@ -2,7 +2,7 @@
 import sleep from '../common/sleep';
 import type { Clock, Disposable, Logger, Offset, Random } from '../common/Types';
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
-import { folderDigest } from '../version/folder';
+import { applyChanges, folderChanges, folderDigest } from '../version/folder';
 import InvalidHeadError from '../version/InvalidHeadError';
 import type { Head } from '../version/Types';
 import LogError from './LogError';
@@ -151,7 +151,7 @@
   }
 
   private apply(configuration: PublishedConfiguration | undefined, through: Offset): void {
-    const head = configuration && ConfigurationWatch.headOf(configuration);
+    const head = configuration && this.headOf(configuration);
     const before = this.heads.knowledge.version;
     try {
       this.heads.fromLog(head, through, true);
@@ -172,7 +172,10 @@
     });
   }
 
-  private static headOf({ version, folder }: PublishedConfiguration): Head {
+  private headOf({ version, folder: published }: PublishedConfiguration): Head {
+    // Files that didn't change stay the same objects, which needn't be parsed again.
+    const known = this.heads.head?.folder ?? [];
+    const folder = applyChanges(known, folderChanges(known, published));
     return {
       schema: SCHEMA_NUMBER,
       version,
--- a/src/process/DaemonMetrics.ts
+++ b/src/process/DaemonMetrics.ts
@@ -16,6 +16,7 @@
   readonly upstreamLoad: () => number;
   readonly controlBytesReceived: () => number;
   readonly controlBytesSent: () => number;
+  readonly loopLagSeconds: () => number;
   readonly logLinesLost: () => number;
   readonly logReads: () => number;
   readonly logFailures: () => number;
@@ -34,6 +35,7 @@
   upstreamLoad: ['upstream_load', 'Calls at the upstream here, in parts of its slots.'],
   controlBytesReceived: ['control_received_bytes', 'Bytes received from peers and the log.'],
   controlBytesSent: ['control_sent_bytes', 'Bytes sent to peers and the log.'],
+  loopLagSeconds: ['loop_lag_seconds', 'How late the event loop runs; calls are shed by it.'],
   logLinesLost: ['log_lines_lost', 'Log lines that were left out or had no reader.'],
   logReads: ['log_reads', 'Reads of the configuration stream.'],
   logFailures: ['log_failures', 'Reads of the configuration stream that failed.'],
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -33,6 +33,7 @@
 import CallHandler from '../request/CallHandler';
 import ForecastBalancer from '../request/ForecastBalancer';
 import OWN_HEADER_NAMES from '../request/headerNames';
+import OverloadGuard from '../request/OverloadGuard';
 import PeerCallHandler from '../request/PeerCallHandler';
 import PeerLiveness from '../request/PeerLiveness';
 import PeerPools from '../request/PeerPools';
@@ -46,6 +47,7 @@
 import type Listener from './Listener';
 import { bindListeners, createListeners, type Listeners } from './listeners';
 import LogWriter from './LogWriter';
+import LoopLag from './LoopLag';
 import Readiness from './Readiness';
 import serveOperators from './serveOperators';
 import servePeers from './servePeers';
@@ -78,6 +80,7 @@
     random: new SeededRandom(),
     meter: new SocketMeter(),
     log,
+    lag: resources.add(new LoopLag(clock)),
     logger: (part: string) => log.logger(part),
     names: settings.log.kind === 'platform' ? PLATFORM_HEADERS : OWN_HEADER_NAMES,
   };
@@ -254,7 +257,7 @@
 type UpstreamParts = ReturnType<typeof wireUpstreams>;
 
 function wireMetrics(
-  { clock, meter, log }: Core,
+  { clock, meter, log, lag }: Core,
   members: MemberTable,
   { heads, source: { tail } }: ConfigurationParts,
   { overlay }: PeerParts,
@@ -272,6 +275,7 @@
     upstreamLoad: () => registration.load,
     controlBytesReceived: () => meter.bytes.received,
     controlBytesSent: () => meter.bytes.sent,
+    loopLagSeconds: () => lag.currentMs / MS_PER_SECOND,
     logLinesLost: () => log.lost,
     logReads: () => tail.state.reads,
     logFailures: () => tail.state.failures,
@@ -281,7 +285,7 @@
 
 /** What answers callers. */
 function wireCalls(
-  { holder, settings, clock, random, names, logger }: Core,
+  { holder, settings, clock, random, lag, names, logger }: Core,
   members: MemberTable,
   versions: VersionStore,
   { balancer, transport }: UpstreamParts,
@@ -315,6 +319,7 @@
     },
     onAttempt: metrics.onAttempt,
     report: metrics.onCall,
+    guard: new OverloadGuard(() => lag.currentMs, random),
     isCurrent: () => readiness.isCurrent,
   });
 }
@@ -394,6 +399,7 @@
     maxBodyBytes,
     names,
     clock,
+    lagMs: () => core.lag.currentMs,
     logger: logger('upstream'),
   });
   resources.add(servePeers(listeners.peers, router, peerCalls, meter));
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -202,11 +202,14 @@
     signal: AbortSignal,
     kind: 'first' | 'retry',
   ): Promise<Answer> {
+    const { balancer } = this.services;
     const first = (cancel: AbortSignal) => this.attempt(upstream, cancel, kind);
     if (!this.idempotent || this.attemptsAbove > 1) return first(signal);
     const second = () => {
       const other = this.place(this.tried);
-      if (!other || !this.mayReachAnother()) return undefined;
+      // Where calls wait for slots, a second attempt delays more than it saves.
+      if (!other || (balancer.known(other)?.load.waiting ?? 0) > 0) return undefined;
+      if (!this.mayReachAnother()) return undefined;
       return (cancel: AbortSignal) => this.attempt(other, cancel, 'hedge');
     };
     return hedgedAttempt(first, second, this.stragglerMs(), signal);
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -6,6 +6,7 @@
 import CALLER_LEFT from './callerLeft';
 import DeadlineError from './DeadlineError';
 import NotRunError from './NotRunError';
+import type OverloadGuard from './OverloadGuard';
 import readRequest from './readRequest';
 import { refuseCall, relayAnswer, type Refusal } from './relayAnswer';
 import RequestError from './RequestError';
@@ -45,6 +46,7 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly report: (report: CallReport) => void;
+  readonly guard: OverloadGuard;
   /** Whether the configuration in force is known to be no older than that of other daemons. */
   readonly isCurrent: () => boolean;
 }
@@ -198,10 +200,14 @@
     terms: CallTerms,
     record: CallRecord,
   ): Promise<void> {
-    const { clock, names } = this.services;
+    const { clock, names, guard, versions } = this.services;
     const askedMs = positiveHeader(message.headers, names.deadlineMs, Infinity);
     const allowedMs = Math.min(askedMs, terms.route.timeoutMs);
     const attempts = positiveHeader(message.headers, ATTEMPTS_HEADER, 0);
+    const shortestMs = versions.snapshot?.shortestObjectiveMs ?? 0;
+    if (guard.refuses(terms.route.objectiveMs, shortestMs)) {
+      throw new NotRunError('this daemon has no processor time for the call');
+    }
     if (attempts > MAX_DEPTH_ATTEMPTS) throw new NotRunError('the call made too many attempts');
     const now = clock.now();
     const times = { deadline: now + allowedMs, objective: now + terms.route.objectiveMs };
@@ -256,7 +262,9 @@
 
   private log(record: CallRecord, status: number, durationMs: number): void {
     const { logger, versions } = this.services;
-    logger.log('Call ended.', {
+    // Kinds of their own, so that answered calls never use up the lines of failed ones.
+    const message = record.outcome === 'answered' ? 'Call answered.' : 'Call not answered.';
+    logger.log(message, {
       request: record.requestId,
       route: record.route,
       service: record.service,
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -132,7 +132,8 @@
     this.open += 1;
     try {
       const release = await this.admission.acquire(context, signal);
-      if (signal.aborted || this.draining || !registry.start(id)) {
+      const late = this.services.clock.now() >= context.deadline;
+      if (late || signal.aborted || this.draining || !registry.start(id)) {
         release();
         throw new NotRunError('the attempt was given up while it waited');
       }
--- a/src/request/PeerCallHandler.ts
+++ b/src/request/PeerCallHandler.ts
@@ -23,6 +23,8 @@
   /** Largest request body. */
   readonly maxBodyBytes: () => number;
   readonly names: HeaderNames;
+  /** Lag of the event loop, in milliseconds: how long a request may have waited to be read. */
+  readonly lagMs: () => number;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -90,11 +92,13 @@
   }
 
   private accept(message: IncomingMessage, local: LocalService | undefined): PeerCall {
-    const call = parsePeerCall(message.headers, this.services.clock.now());
+    const { clock, lagMs } = this.services;
+    const call = parsePeerCall(message.headers, clock.now() - lagMs());
     if (!call) throw new NotRunError('this address takes calls of daemons only');
     if (call.target !== this.services.incarnation()) {
       throw new NotRunError('the call was meant for another incarnation of this daemon');
     }
+    if (clock.now() >= call.context.deadline) throw new NotRunError('the deadline has passed');
     if (local?.service !== call.context.service) {
       throw new NotRunError(`service ${call.context.service} takes no new work here`);
     }
--- a/src/version/Types.ts
+++ b/src/version/Types.ts
@@ -176,6 +176,8 @@
 export interface Snapshot {
   readonly head: Head;
   readonly configuration: Configuration;
+  /** Shortest objective of all routes, in milliseconds. */
+  readonly shortestObjectiveMs: number;
   /**
    * @param method - HTTP method.
    * @param host - Host header.
--- a/src/version/folder.ts
+++ b/src/version/folder.ts
@@ -30,15 +30,15 @@
 /**
  * @param folder - The folder before.
  * @param changes - Files to set or remove.
- * @returns The folder after.
+ * @returns The folder after; files that didn't change are the same objects.
  */
 export function applyChanges(folder: Folder, changes: readonly FileChange[]): Folder {
-  const contents = new Map<FileName, string>(folder.map(({ name, content }) => [name, content]));
+  const files = new Map<FileName, FolderFile>(folder.map((file) => [file.name, file]));
   for (const { name, content } of changes) {
-    if (content === null) contents.delete(name);
-    else contents.set(name, content);
+    if (content === null) files.delete(name);
+    else files.set(name, { name, content });
   }
-  return sortedFolder([...contents].map(([name, content]) => ({ name, content })));
+  return sortedFolder(files.values());
 }
 
 /**
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -78,10 +78,36 @@
   section.set(name, { value, file, overrode });
 }
 
+/** Documents of files that were parsed before; versions share the files that didn't change. */
+const documents = new WeakMap<FolderFile, Record<string, unknown>>();
+
+/** Results of tables that were validated before, by schema. */
+const validated = new WeakMap<z.ZodType, WeakMap<object, z.ZodSafeParseResult<unknown>>>();
+
+function parseFile(file: FolderFile): Record<string, unknown> {
+  const known = documents.get(file);
+  if (known) return known;
+  const document = parse(file.content);
+  documents.set(file, document);
+  return document;
+}
+
+function validate<Schema extends z.ZodType>(
+  schema: Schema,
+  value: unknown,
+): z.ZodSafeParseResult<z.output<Schema>> {
+  if (!isTable(value)) return schema.safeParse(value);
+  const results = validated.get(schema) ?? new WeakMap<object, z.ZodSafeParseResult<unknown>>();
+  validated.set(schema, results);
+  const result = results.get(value) ?? schema.safeParse(value);
+  results.set(value, result);
+  return result as z.ZodSafeParseResult<z.output<Schema>>;
+}
+
 function collect(file: FolderFile, sections: Sections): Fault[] {
   let document: Record<string, unknown>;
   try {
-    document = parse(file.content);
+    document = parseFile(file);
   } catch (error) {
     if (error instanceof TomlError) return [tomlFault(file, error)];
     throw error;
@@ -115,7 +141,7 @@
     const place = { file: file.name, content: file.content, table };
     const nameResult = nameSchema.safeParse(name);
     if (!nameResult.success) faults.push(...schemaFaults(nameResult.error, name, place));
-    const result = schema.safeParse(value);
+    const result = validate(schema, value);
     if (result.success) parsed.set(name, result.data);
     else faults.push(...schemaFaults(result.error, value, place));
   }
