Send second attempts only where slowness is the other side's

The log showed inner calls hedged after 60 ms by daemons whose own event loop lagged, before any average was known; each cancelled attempt closed two connections, and their handshakes fed the lag.

Change: no second attempt before 20 answers were seen, above 20 ms of own lag, or before 0.9 of the objective.

--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -317,6 +317,7 @@
       slack: () => retries().slack / (retries().shared ? members.live().length : 1),
       maxShare: () => retries().ratio ?? 1,
     },
+    lagMs: () => lag.currentMs,
     onAttempt: metrics.onAttempt,
     report: metrics.onCall,
     guard: new OverloadGuard(() => lag.currentMs, random),
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -23,7 +23,9 @@
 const HEDGE_LATENCIES = 3;
 const MIN_HEDGE_MS = 5;
 /** Part of the objective that is always waited for before a second attempt. */
-const OBJECTIVE_PART = 0.6;
+const OBJECTIVE_PART = 0.9;
+/** Lag of the event loop, in ms, above which slowness is this daemon's own: no second attempts. */
+const MAX_HEDGE_LAG_MS = 20;
 /** Average latencies for every other call that may run again. */
 const RESCUE_LATENCIES = 10;
 const MIN_RESCUE_MS = 1_000;
@@ -43,6 +45,8 @@
   readonly callerService: ServiceName | undefined;
   readonly incarnation: () => Incarnation;
   readonly nextAttempt: () => AttemptNumber;
+  /** Lag of the event loop, in milliseconds. */
+  readonly lagMs: () => number;
   readonly onAttempt: (kind: 'first' | 'retry' | 'hedge') => void;
 }
 
@@ -202,10 +206,11 @@
     signal: AbortSignal,
     kind: 'first' | 'retry',
   ): Promise<Answer> {
-    const { balancer } = this.services;
+    const { balancer, lagMs } = this.services;
     const first = (cancel: AbortSignal) => this.attempt(upstream, cancel, kind);
     if (!this.idempotent || this.attemptsAbove > 1) return first(signal);
     const second = () => {
+      if (lagMs() > MAX_HEDGE_LAG_MS) return undefined;
       const other = this.place(this.tried);
       // Where calls wait for slots, a second attempt delays more than it saves.
       if (!other || (balancer.known(other)?.load.waiting ?? 0) > 0) return undefined;
@@ -219,11 +224,11 @@
   private stragglerMs(): number {
     const { route, service } = this.terms;
     const averageMs = this.services.balancer.latencyMs(service.name, route.name);
-    if (route.hedge) return Math.max(MIN_HEDGE_MS, HEDGE_LATENCIES * averageMs);
-    if (route.objectiveMs < route.timeoutMs) {
+    if (route.hedge) return Math.max(MIN_HEDGE_MS, HEDGE_LATENCIES * (averageMs ?? 0));
+    if (averageMs !== undefined && route.objectiveMs < route.timeoutMs) {
       return Math.max(OBJECTIVE_PART * route.objectiveMs, HEDGE_LATENCIES * averageMs);
     }
-    return Math.max(MIN_RESCUE_MS, RESCUE_LATENCIES * averageMs);
+    return Math.max(MIN_RESCUE_MS, RESCUE_LATENCIES * (averageMs ?? 0));
   }
 
   private async attempt(
--- a/src/request/ForecastBalancer.ts
+++ b/src/request/ForecastBalancer.ts
@@ -42,6 +42,14 @@
 /** Upstreams that weren't used this long are forgotten, in milliseconds. */
 const FORGET_AFTER_MS = 600_000;
 const NOISE_STEPS = 1_000;
+/** Answers after which an average tells what is usual. */
+const ENOUGH_ANSWERS = 20;
+
+/** Average time of a route's answers, in milliseconds. */
+interface Latency {
+  averageMs: number;
+  count: number;
+}
 
 /** Share of answers that come late where they take `part` of their objective on average. */
 function lateShare(part: number): number {
@@ -68,7 +76,7 @@
 export default class ForecastBalancer implements Balancer {
   private readonly standings = new Map<DaemonId, Standing>();
 
-  private readonly latencies = new Map<string, number>();
+  private readonly latencies = new Map<string, Latency>();
 
   public constructor(
     private readonly directory: UpstreamDirectory,
@@ -117,8 +125,9 @@
     if (result.load) standing.report(route, result.load, now);
   }
 
-  public latencyMs(service: ServiceName, route: RouteName): number {
-    return this.latencies.get(`${service} ${route}`) ?? FIRST_LATENCY_MS;
+  public latencyMs(service: ServiceName, route: RouteName): number | undefined {
+    const latency = this.latencies.get(`${service} ${route}`);
+    return latency && latency.count >= ENOUGH_ANSWERS ? latency.averageMs : undefined;
   }
 
   public known({ daemon }: Upstream): KnownLoad | undefined {
@@ -137,8 +146,10 @@
 
   private noteLatency(service: ServiceName, route: RouteName, latencyMs: number): void {
     const key = `${service} ${route}`;
-    const known = this.latencies.get(key) ?? latencyMs;
-    this.latencies.set(key, known + SERVICE_LATENCY_WEIGHT * (latencyMs - known));
+    const latency = this.latencies.get(key) ?? { averageMs: latencyMs, count: 0 };
+    this.latencies.set(key, latency);
+    latency.averageMs += SERVICE_LATENCY_WEIGHT * (latencyMs - latency.averageMs);
+    latency.count += 1;
   }
 
   /** Leaves out those out of reach, set aside or lost from sight, but never all. */
@@ -175,7 +186,7 @@
   ): number {
     const seen = standing?.durationMs(route);
     if (seen !== undefined) return seen;
-    const typicalMs = this.latencyMs(service, route);
+    const typicalMs = this.latencyMs(service, route) ?? FIRST_LATENCY_MS;
     return now - upstream.servingSince < COLD_MS ? COLD_FACTOR * typicalMs : typicalMs;
   }
 
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -194,9 +194,9 @@
   /**
    * @param service - Name of the service.
    * @param route - A route to it.
-   * @returns Milliseconds that its answers take on average.
+   * @returns Milliseconds that its answers take on average; `undefined` before enough were seen.
    */
-  latencyMs(service: ServiceName, route: RouteName): number;
+  latencyMs(service: ServiceName, route: RouteName): number | undefined;
   /**
    * @param upstream - An upstream.
    * @returns What was last heard of its load and how many milliseconds ago, for the log.
