Spread versions in a storm at a bounded rate, offer a refused call once more only

Each version cost every daemon a merge, a fetch and some eight announcements, and a daemon that has just restarted has no compiled code.

Change: a reader pauses 300 ms after news, a daemon announces at once and then every 400 ms at most; a call that a daemon refused is offered to one other.

--- a/src/connection/ConfigurationWatch.ts
+++ b/src/connection/ConfigurationWatch.ts
@@ -21,6 +21,8 @@
 const LONG_POLL_MS = 2_000;
 /** How often a daemon that needn't read looks whether it should, in milliseconds. */
 const IDLE_CHECK_MS = 100;
+/** Pause after news, in milliseconds: of versions in quick succession only the last is needed. */
+const COALESCE_MS = 300;
 const BACKOFF: Backoff = { baseMs: 150, capMs: 1_500 };
 /** Failures in a row after which other daemons read in this one's place. */
 const FAILURES_BEFORE_YIELD = 2;
@@ -95,8 +97,9 @@
         continue;
       }
       try {
-        await this.readOnce(signal);
+        const isNews = await this.readOnce(signal);
         this.noteSuccess();
+        if (isNews) await sleep(COALESCE_MS, signal);
         // A daemon that reads only because it hears nothing must not add to a storm.
         if (!this.isReader() && this.isStale()) {
           await sleep(jitteredPeriod(this.options.staleMs, this.random), signal);
@@ -124,7 +127,8 @@
     return confirmedAt === undefined || this.clock.now() - confirmedAt > this.options.staleMs;
   }
 
-  private async readOnce(signal: AbortSignal): Promise<void> {
+  /** Returns whether it brought a version that was not in force. */
+  private async readOnce(signal: AbortSignal): Promise<boolean> {
     this.reads += 1;
     let batch: ConfigurationBatch;
     try {
@@ -133,10 +137,10 @@
       if (!(error instanceof LogExpiredError)) throw error;
       this.logger.log('The store dropped records that were not read.', { from: this.next });
       this.next = undefined;
-      return;
+      return false;
     }
     this.next = batch.next;
-    this.apply(batch.configuration, batch.next);
+    return this.apply(batch.configuration, batch.next);
   }
 
   private read(signal: AbortSignal): Promise<ConfigurationBatch> {
@@ -150,7 +154,7 @@
     return this.store.changes(this.next, waitMs, signal);
   }
 
-  private apply(configuration: PublishedConfiguration | undefined, through: Offset): void {
+  private apply(configuration: PublishedConfiguration | undefined, through: Offset): boolean {
     const head = configuration && this.headOf(configuration);
     const before = this.heads.knowledge.version;
     try {
@@ -161,15 +165,16 @@
         version: error.version,
         reason: error.message,
       });
-      return;
+      return false;
     }
-    if (!head || before === this.heads.knowledge.version) return;
+    if (!head || before === this.heads.knowledge.version) return false;
     this.logger.log('A version came into force.', {
       version: head.version,
       before,
       through,
       source: 'store',
     });
+    return true;
   }
 
   private headOf({ version, folder: published }: PublishedConfiguration): Head {
--- a/src/connection/Gossip.ts
+++ b/src/connection/Gossip.ts
@@ -2,6 +2,12 @@
 import Outbox from './Outbox';
 import type { Beat, HeadTracker, Membership, MemberRecord } from './Types';
 
+/**
+ * Least time between two announcements of versions, in milliseconds. A single change is announced
+ * at once; in a storm of them only the last of each interval is, which spares its fetches too.
+ */
+const ANNOUNCE_GAP_MS = 400;
+
 /**
  * Spreads member records over every open connection, whoever opened it, except to peers that know
  * them already.
@@ -11,6 +17,10 @@
 
   private readonly subscriptions: readonly Disposable[];
 
+  private announcedAt = -Infinity;
+
+  private pending: NodeJS.Timeout | undefined;
+
   public constructor(
     private readonly members: Membership,
     private readonly heads: HeadTracker,
@@ -18,7 +28,7 @@
   ) {
     this.subscriptions = [
       members.onChange((records) => this.spread(records)),
-      heads.onAdvance(({ version }) => this.announce(version)),
+      heads.onAdvance(() => this.scheduleAnnouncement()),
     ];
   }
 
@@ -64,6 +74,7 @@
   }
 
   public dispose(): void {
+    clearTimeout(this.pending);
     for (const subscription of this.subscriptions) subscription.dispose();
     this.outboxes.clear();
   }
@@ -72,8 +83,19 @@
     for (const outbox of this.outboxes) outbox.put(records);
   }
 
+  private scheduleAnnouncement(): void {
+    const waitMs = this.announcedAt + ANNOUNCE_GAP_MS - this.clock.now();
+    if (waitMs <= 0) this.announce(this.heads.knowledge.version);
+    else {
+      this.pending ??= setTimeout(() => this.announce(this.heads.knowledge.version), waitMs);
+    }
+  }
+
   /** Peers that told of a version themselves needn't be told of it. */
   private announce(version: VersionNumber | null): void {
+    clearTimeout(this.pending);
+    this.pending = undefined;
+    this.announcedAt = this.clock.now();
     for (const outbox of this.outboxes) if (outbox.isNews(version)) outbox.wake();
   }
 }
--- a/src/process/LoopLag.ts
+++ b/src/process/LoopLag.ts
@@ -1,7 +1,7 @@
 import type { Clock, Disposable } from '../common/Types';
 
 /** How often the lag is measured, in milliseconds. */
-const TICK_MS = 25;
+const TICK_MS = 50;
 /** Part of the former lag that stays after a tick: about four ticks count. */
 const KEPT_PART = 0.7;
 
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -30,7 +30,7 @@
 const RESCUE_LATENCIES = 10;
 const MIN_RESCUE_MS = 1_000;
 /** Daemons that a call is offered to before it is refused; their refusals cost no upstream. */
-const MAX_OFFERS = 4;
+const MAX_OFFERS = 2;
 /** Statuses with which an upstream says that it failed, so that another may do better. */
 const RETRIED_STATUSES = new Set([500, 502, 503]);
 const NONE: ReadonlySet<DaemonId> = new Set();
