Place calls by the lag that daemons report too

Cause: a daemon whose processor was used up (the one beside the most asked service, or one just restarted) reported free slots and short durations, as both are measured after its event loop got to the call. Callers kept choosing it; requests reached its server up to 4 s late.

Change: the load report carries the lag, and the forecast adds it.

--- a/bench/balancer.ts
+++ b/bench/balancer.ts
@@ -95,6 +95,7 @@
       waitMs: lies ? 0 : (this.queue.length * WORK_MS) / SLOTS,
       durationMs: undefined,
       failureShare: 0,
+      lagMs: 0,
     };
   }
 
--- a/src/process/UpstreamRegistration.test.ts
+++ b/src/process/UpstreamRegistration.test.ts
@@ -78,6 +78,7 @@
     versions,
     attempts: new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock),
     names: OWN_HEADER_NAMES,
+    lagMs: () => 0,
     leaseMs: LEASE_MS,
     clock,
     logger: { log: () => undefined },
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -37,6 +37,8 @@
   /** Judges attempts. */
   readonly attempts: AttemptRegistry;
   readonly names: HeaderNames;
+  /** Lag of this daemon's event loop, in milliseconds. */
+  readonly lagMs: () => number;
   /** How long an announcement holds, in milliseconds. */
   readonly leaseMs: number;
   readonly clock: Clock;
@@ -138,8 +140,7 @@
       (departure.startedAt === undefined || announcement.startedAt === departure.startedAt);
     this.services.logger.log('An upstream leaves.', { ...departure, known: isKnown });
     if (!isKnown) return;
-    if (announcement.startedAt !== undefined)
-      this.departed.add(startKey(announcement as Departure));
+    if (announcement.startedAt !== undefined) this.departed.add(startKey(announcement as Departure));
     this.retire();
     this.publish();
   }
@@ -193,7 +194,7 @@
 
   private connect(service: Service, limits: UpstreamLimits, registered: Registered): LocalUpstream {
     const { address } = registered.announcement;
-    const { attempts, names, clock, logger } = this.services;
+    const { attempts, names, lagMs, clock, logger } = this.services;
     return new LocalUpstream(limits, address, {
       openPool: () =>
         new Pool(`http://${address}`, {
@@ -204,6 +205,7 @@
         }),
       registry: attempts,
       names,
+      lagMs,
       clock,
       logger,
       onUnreachable: () => this.noteUnreachable(registered.announcement.instance),
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -222,7 +222,7 @@
   { versions }: ConfigurationParts,
   { asker }: PeerParts,
 ) {
-  const { settings, resources, clock, random, names, logger } = core;
+  const { settings, resources, clock, random, names, lag, logger } = core;
   const attempts = new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock);
   const registration = resources.add(
     new UpstreamRegistration({
@@ -230,6 +230,7 @@
       versions,
       attempts,
       names,
+      lagMs: () => lag.currentMs,
       leaseMs: settings.upstream.lease,
       clock,
       logger: logger('upstream'),
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -176,7 +176,9 @@
     record: CallRecord,
   ): Promise<void> {
     const { limits, names, versions, isCurrent } = this.services;
-    if (!isCurrent()) throw new NotRunError('no current configuration is in force here yet');
+    if (versions.snapshot && !isCurrent()) {
+      throw new NotRunError('it is not known yet whether the configuration here is current');
+    }
     if (this.open > limits.maxOpenCalls) throw new NotRunError('too many calls are open here');
     const maxBodyBytes =
       versions.snapshot?.configuration.limits?.maxBodyBytes ?? limits.maxBodyBytes;
--- a/src/request/ForecastBalancer.ts
+++ b/src/request/ForecastBalancer.ts
@@ -168,7 +168,8 @@
     const slots = standing?.load?.slots ?? upstream.slots ?? placement.slots;
     const busy = this.busy(standing, now);
     const waitMs = busy < slots ? 0 : ((busy - slots + 1) * durationMs) / slots;
-    const part = (waitMs + durationMs) / Math.max(1, placement.objectiveMs);
+    const expectedMs = waitMs + durationMs + this.lagMs(standing, now);
+    const part = expectedMs / Math.max(1, placement.objectiveMs);
     const crowding = Math.max(0, busy / slots - CROWDED_LOAD) / (1 - CROWDED_LOAD);
     return (
       LATE_LOSS * lateShare(part) +
@@ -178,6 +179,12 @@
     );
   }
 
+  /** Time that a daemon without processor time adds, as it reported, fading with age. */
+  private lagMs(standing: Standing | undefined, now: number): number {
+    if (!standing?.load) return 0;
+    return standing.load.lagMs * reportWeight(now - standing.loadAt);
+  }
+
   private durationMs(
     upstream: Upstream,
     standing: Standing | undefined,
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -37,6 +37,8 @@
   /** Judges attempts. */
   readonly registry: AttemptRegistry;
   readonly names: HeaderNames;
+  /** Lag of this daemon's event loop, in milliseconds. */
+  readonly lagMs: () => number;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Told when the upstream takes no connection. */
@@ -101,6 +103,7 @@
       ...this.admission.slotLoad,
       durationMs: this.admission.durationMs(route),
       failureShare: this.failureShare,
+      lagMs: this.services.lagMs(),
     };
   }
 
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -162,6 +162,8 @@
   readonly durationMs: number | undefined;
   /** Share of the latest calls that it failed, 0 to 1. */
   readonly failureShare: number;
+  /** How late the daemon beside it gets to its work. */
+  readonly lagMs: number;
 }
 
 /** What a call is placed by. */
--- a/src/request/callHeaders.ts
+++ b/src/request/callHeaders.ts
@@ -193,9 +193,17 @@
  * @returns Value of the load header.
  */
 export function formatLoad(load: UpstreamLoad): string {
-  const { running, waiting, slots, waitMs, durationMs, failureShare } = load;
+  const { running, waiting, slots, waitMs, durationMs, failureShare, lagMs } = load;
   const duration = durationMs === undefined ? '' : Math.round(durationMs);
-  return [running, waiting, slots, Math.round(waitMs), duration, failureShare.toFixed(2)].join(',');
+  return [
+    running,
+    waiting,
+    slots,
+    Math.round(waitMs),
+    duration,
+    failureShare.toFixed(2),
+    Math.round(lagMs),
+  ].join(',');
 }
 
 /**
@@ -205,7 +213,7 @@
 export function parseLoad(headers: IncomingHttpHeaders): UpstreamLoad | undefined {
   const text = headers[LOAD_HEADER];
   if (typeof text !== 'string') return undefined;
-  const [running, waiting, slots, waitMs, duration, failureShare] = text.split(',');
+  const [running, waiting, slots, waitMs, duration, failureShare, lagMs] = text.split(',');
   const load = {
     running: Number(running),
     waiting: Number(waiting),
@@ -213,8 +221,10 @@
     waitMs: Number(waitMs),
     durationMs: duration ? Number(duration) : undefined,
     failureShare: Number(failureShare),
+    lagMs: Number(lagMs),
   };
-  const numbers = [load.running, load.waiting, load.slots, load.waitMs, load.failureShare];
+  const { durationMs, ...required } = load;
+  const numbers = [...Object.values(required), durationMs ?? 0];
   return numbers.every(Number.isFinite) && load.slots > 0 ? load : undefined;
 }
 
