See that a caller left before its late request is begun

A daemon whose event loop lagged read a request and the close behind it in one turn, and began the request first; a caller's own time was counted from when it was read.

--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -140,7 +140,8 @@
       (departure.startedAt === undefined || announcement.startedAt === departure.startedAt);
     this.services.logger.log('An upstream leaves.', { ...departure, known: isKnown });
     if (!isKnown) return;
-    if (announcement.startedAt !== undefined) this.departed.add(startKey(announcement as Departure));
+    if (announcement.startedAt !== undefined)
+      this.departed.add(startKey(announcement as Departure));
     this.retire();
     this.publish();
   }
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -11,6 +11,7 @@
 import { refuseCall, relayAnswer, type Refusal } from './relayAnswer';
 import RequestError from './RequestError';
 import RetryBudget, { type RetryAllowance } from './RetryBudget';
+import settleCloses from './settleCloses';
 import SplitDealers from './SplitDealers';
 import type { Answer, CallRequest, HeaderNames, Outcome, UpstreamDirectory } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
@@ -202,7 +203,10 @@
     terms: CallTerms,
     record: CallRecord,
   ): Promise<void> {
-    const { clock, names, guard, versions } = this.services;
+    const { clock, names, guard, versions, lagMs } = this.services;
+    // The request may have waited as long as this daemon lags before it was read.
+    const arrivedAt = clock.now() - lagMs();
+    await settleCloses(lagMs());
     const askedMs = positiveHeader(message.headers, names.deadlineMs, Infinity);
     const allowedMs = Math.min(askedMs, terms.route.timeoutMs);
     const attempts = positiveHeader(message.headers, ATTEMPTS_HEADER, 0);
@@ -211,8 +215,10 @@
       throw new NotRunError('this daemon has no processor time for the call');
     }
     if (attempts > MAX_DEPTH_ATTEMPTS) throw new NotRunError('the call made too many attempts');
-    const now = clock.now();
-    const times = { deadline: now + allowedMs, objective: now + terms.route.objectiveMs };
+    const deadline = arrivedAt + allowedMs;
+    const leftMs = deadline - clock.now();
+    if (leftMs <= 0) throw new NotRunError('its time had passed before it was read');
+    const times = { deadline, objective: arrivedAt + terms.route.objectiveMs };
     const budget = this.budget(terms.service.name);
     const call = new Call(request, terms, this.services, budget, times, attempts);
     Object.assign(record, {
@@ -221,7 +227,7 @@
       allowedMs: Math.round(allowedMs),
       call,
     });
-    const answer = await CallHandler.withDeadline(message, allowedMs, (signal) => call.run(signal));
+    const answer = await CallHandler.withDeadline(message, leftMs, (signal) => call.run(signal));
     if (!(await relayAnswer(answer, response, names))) {
       Object.assign(record, { reason: 'the answer broke off, or the caller left' });
     }
--- a/src/request/PeerCallHandler.ts
+++ b/src/request/PeerCallHandler.ts
@@ -6,6 +6,7 @@
 import NotRunError from './NotRunError';
 import readRequest from './readRequest';
 import { refuseCall, relayAnswer } from './relayAnswer';
+import settleCloses from './settleCloses';
 import type { CallRequest, HeaderNames } from './Types';
 
 /** The upstream beside this daemon, and whose it is. */
@@ -50,6 +51,7 @@
     try {
       call = this.accept(message, local);
       request = await readRequest(message, this.services.maxBodyBytes(), names);
+      await settleCloses(this.services.lagMs());
       const answer = await local!.upstream.run(request, call.context, cancel.signal);
       response.off('close', leave);
       await relayAnswer(answer, response, names, local!.upstream.loadFor(call.context));
