--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -59,8 +59,8 @@
   {
     name: 'no second attempt for stragglers',
     file: 'src/request/Call.ts',
-    from: 'if (!this.idempotent || this.attemptsAbove > 1) return this.attempt(upstream, signal);',
-    to: 'return this.attempt(upstream, signal);',
+    from: 'if (!this.idempotent || this.attemptsAbove > 1) return first(signal);',
+    to: 'return first(signal);',
     test: 'test/callFaults.test.ts',
     scenario: 'a frozen upstream',
   },
@@ -75,8 +75,8 @@
   {
     name: 'no other connections after a silent one, no second round of upstreams',
     file: 'src/request/Call.ts',
-    from: 'balancer.choose(service, this.tried) ?? balancer.choose(service, NONE)',
-    to: 'balancer.choose(service, this.tried)',
+    from: 'this.place(this.tried) ?? this.place(NONE)',
+    to: 'this.place(this.tried)',
     also: {
       file: 'src/request/PeerTransport.ts',
       from: 'this.pools.leave(upstream.address, pool);',
@@ -88,8 +88,8 @@
   {
     name: 'a drain cuts off what runs',
     file: 'src/process/Daemon.ts',
-    from: 'await Promise.race([Promise.all([drained, finished]), sleep(drainMs, late.signal)]);',
-    to: 'void [drained, finished, drainMs]; process.exit(0);',
+    from: 'await Promise.race([finished, sleep(Math.max(0, deadline - clock.now()), late.signal)]);',
+    to: 'void [finished, deadline, late]; process.exit(0);',
     test: 'test/callFaults.test.ts',
     scenario: 'rolling restart',
   },
