--- /dev/null
+++ b/src/connection/MemberTable.restart.test.ts
@@ -0,0 +1,45 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import ManualClock from '../../stand-in/ManualClock';
+import type { Address, DaemonId, Incarnation, ServiceName, ZoneName } from '../common/Types';
+import MemberTable from './MemberTable';
+import type { MemberRecord } from './Types';
+
+const OPTIONS = { suspicionMs: 5_000, tombstoneMs: 60_000, cutMs: 3_600_000 };
+
+function record(id: string, incarnation: number, changes: Partial<MemberRecord> = {}) {
+  return {
+    id: id as DaemonId,
+    incarnation: incarnation as Incarnation,
+    sequence: 0,
+    zone: 'coq' as ZoneName,
+    address: `${id}:1` as Address,
+    control: `${id}:2` as Address,
+    service: 'stock' as ServiceName,
+    state: 'serving' as const,
+    healthHint: true,
+    slots: 9,
+    readsLog: true,
+    health: 'alive' as const,
+    ...changes,
+  };
+}
+
+test('a restart whose incarnation is lower than the last one still becomes the newest', () => {
+  const clock = new ManualClock();
+  const peer = new MemberTable(record('peer', 1), OPTIONS, clock);
+  // The last process left in order with many changes; the clock may since have gone back.
+  peer.merge([record('coq-1', 900_000, { sequence: 40, state: 'serving' })]);
+  peer.merge([record('coq-1', 900_000, { sequence: 41, state: 'gone' })]);
+  const restarted = new MemberTable(record('coq-1', 17), OPTIONS, clock);
+  peer.merge([restarted.self]);
+  assert.is(peer.get('coq-1' as DaemonId)?.state, 'gone', 'its first record is taken for old');
+  restarted.merge(peer.all());
+  peer.merge([restarted.self]);
+  assert.is(peer.get('coq-1' as DaemonId)?.state, 'serving');
+  assert.is(peer.get('coq-1' as DaemonId)?.incarnation, 900_001);
+  peer.dispose();
+  restarted.dispose();
+});
+
+test.run();
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -140,8 +140,8 @@
       (departure.startedAt === undefined || announcement.startedAt === departure.startedAt);
     this.services.logger.log('An upstream leaves.', { ...departure, known: isKnown });
     if (!isKnown) return;
-    if (announcement.startedAt !== undefined)
-      this.departed.add(startKey(announcement as Departure));
+    // A departure that doesn't tell its start is of the one that is known.
+    this.departed.add(startKey({ ...departure, startedAt: announcement.startedAt }));
     this.retire();
     this.publish();
   }
