Keep one copy of the body limit and of an upstream's limits, take out what died

The limit on bodies was worked out in the handler and again in the wiring; an upstream's limits had two types. The time of day in Clock and the name of the instance header lost their last users with this change. Behaviour is the same.

--- a/src/common/SystemClock.ts
+++ b/src/common/SystemClock.ts
@@ -5,8 +5,4 @@
   public now(): number {
     return performance.now();
   }
-
-  public wallTime(): number {
-    return Date.now();
-  }
 }
--- a/src/common/Types.ts
+++ b/src/common/Types.ts
@@ -50,8 +50,6 @@
 export interface Clock {
   /** Monotonic time, for intervals. */
   now(): number;
-  /** Time since the epoch, for incarnations and for people. */
-  wallTime(): number;
 }
 
 /** Source of random numbers. */
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -284,6 +284,12 @@
   });
 }
 
+/** The largest request body: of the version in force, or else of the settings. */
+function bodyLimit({ current }: SettingsHolder, versions: VersionStore): () => number {
+  const fallback = current.calls.max_body_bytes;
+  return () => versions.snapshot?.configuration.limits?.maxBodyBytes ?? fallback;
+}
+
 /** What answers callers. */
 function wireCalls(
   { holder, settings, clock, random, lag, names, logger }: Core,
@@ -312,7 +318,7 @@
       attemptNumber += 1;
       return attemptNumber as AttemptNumber;
     },
-    limits: { maxBodyBytes: calls.max_body_bytes, maxOpenCalls: calls.max_open },
+    limits: { maxBodyBytes: bodyLimit(holder, versions), maxOpenCalls: calls.max_open },
     allowance: {
       windowMs: () => retries().window,
       slack: () => retries().slack / (retries().shared ? members.live().length : 1),
@@ -393,12 +399,10 @@
     fence: (attempt, giveUp) => attempts.fence(attempt, giveUp),
     reach: (id, address) => asker.reach(id, address),
   });
-  const maxBodyBytes = () =>
-    versions.snapshot?.configuration.limits?.maxBodyBytes ?? settings.calls.max_body_bytes;
   const peerCalls = new PeerCallHandler({
     local: () => registration.local,
     incarnation: () => members.self.incarnation,
-    maxBodyBytes,
+    maxBodyBytes: bodyLimit(holder, versions),
     names,
     clock,
     lagMs: () => core.lag.currentMs,
--- a/src/request/Admission.ts
+++ b/src/request/Admission.ts
@@ -23,6 +23,9 @@
 /** A call counts as in time if it would be even after this many average durations. */
 const IN_TIME_FACTOR = 1.4;
 
+/** Limits of one upstream. */
+export type UpstreamLimits = Pick<Service, 'slots' | 'queue' | 'warmUpMs'>;
+
 /** Ends the use of a slot. */
 export type Release = () => void;
 
@@ -70,7 +73,7 @@
  * calls that are long overdue, whose answers are likely lost.
  */
 export default class Admission {
-  private limits: Pick<Service, 'slots' | 'queue' | 'warmUpMs'>;
+  private limits: UpstreamLimits;
 
   private readonly times = new ServiceTimes();
 
@@ -86,7 +89,7 @@
    * @param servingSince - Monotonic time in ms at which the upstream began to serve.
    */
   public constructor(
-    limits: Pick<Service, 'slots' | 'queue' | 'warmUpMs'>,
+    limits: UpstreamLimits,
     private readonly clock: Clock,
     private readonly servingSince: number,
   ) {
@@ -94,7 +97,7 @@
   }
 
   /** @param limits - The limits in a new version. */
-  public setLimits(limits: Pick<Service, 'slots' | 'queue' | 'warmUpMs'>): void {
+  public setLimits(limits: UpstreamLimits): void {
     this.limits = limits;
     this.fill();
   }
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -24,8 +24,8 @@
 
 /** Bounds on callers' requests. */
 export interface CallLimits {
-  /** Largest request body in bytes, where the configuration sets none. */
-  readonly maxBodyBytes: number;
+  /** Largest request body in bytes, by the version in force. */
+  readonly maxBodyBytes: () => number;
   /** Calls open at once; one more is refused as not run. */
   readonly maxOpenCalls: number;
 }
@@ -181,9 +181,7 @@
       throw new NotRunError('it is not known yet whether the configuration here is current');
     }
     if (this.open > limits.maxOpenCalls) throw new NotRunError('too many calls are open here');
-    const maxBodyBytes =
-      versions.snapshot?.configuration.limits?.maxBodyBytes ?? limits.maxBodyBytes;
-    const request = await readRequest(message, maxBodyBytes, names);
+    const request = await readRequest(message, limits.maxBodyBytes(), names);
     Object.assign(record, { requestId: request.requestId });
     const resolution = this.resolve(request.method, request.host, request.path);
     if (resolution.kind === 'refused') {
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -1,7 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { Address, Clock, Disposable, InstanceId, Logger } from '../common/Types';
-import type { Service } from '../version/Types';
-import Admission from './Admission';
+import Admission, { type UpstreamLimits } from './Admission';
 import type AttemptRegistry from './AttemptRegistry';
 import { upstreamHeaders } from './callHeaders';
 import exchange from './exchange';
@@ -27,9 +26,6 @@
 /** A pool of connections that can be closed. */
 export type UpstreamPool = Dispatcher & { destroy(): Promise<void>; close(): Promise<void> };
 
-/** Limits of one upstream. */
-export type UpstreamLimits = Pick<Service, 'slots' | 'queue' | 'warmUpMs'>;
-
 /** What a local upstream uses of its daemon. */
 export interface LocalUpstreamServices {
   /** Opens connections to the upstream. */
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -31,8 +31,6 @@
   readonly notExecuted: string;
   /** On answers: made by the upstream; `undefined` where upstreams don't sign. */
   readonly signature: string | undefined;
-  /** On answers to health checks: the instance that answers. */
-  readonly instance: string;
 }
 
 /** What a caller is told about its call. */
--- a/src/request/headerNames.ts
+++ b/src/request/headerNames.ts
@@ -8,7 +8,6 @@
   expectedInstance: 'x-azurestream-expected-instance',
   notExecuted: 'x-azurestream-not-executed',
   signature: undefined,
-  instance: 'x-azurestream-instance',
 };
 
 export default OWN_HEADER_NAMES;
--- a/stand-in/ManualClock.ts
+++ b/stand-in/ManualClock.ts
@@ -8,10 +8,6 @@
     return this.time;
   }
 
-  public wallTime(): number {
-    return this.time;
-  }
-
   /** @param ms - Milliseconds to move on. */
   public advance(ms: number): void {
     this.time += ms;
