Carry calls between two daemons on one channel, cancel without abort signals

By profile a third went to the HTTP hop between daemons, 6 % to AbortController.

Change: daemons open one WebSocket a pair and number calls on it (MessagePack frames, bodies with credit, cancel frames in place of closed connections). A connection that stays silent after a ping while new ones work is closed. peer_connections is gone from the settings.

Found by the new tests: frames that MessagePack can't read now raise FrameError.

--- a/src/process/servePeers.ts
+++ b/src/process/servePeers.ts
@@ -1,29 +1,43 @@
+import type { IncomingMessage } from 'node:http';
+import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { applyWSSHandler } from '@trpc/server/adapters/ws';
-import { WebSocketServer } from 'ws';
-import type { Disposable } from '../common/Types';
+import { WebSocketServer, type WebSocket } from 'ws';
+import type { DaemonId, Disposable } from '../common/Types';
 import messageEncoder from '../connection/messageEncoder';
 import PEER_PATH, { ALIVE_PATH } from '../connection/peerPath';
 import type { PeerRouter } from '../connection/peerRouter';
 import type SocketMeter from '../connection/SocketMeter';
-import type PeerCallHandler from '../request/PeerCallHandler';
+import { CHANNEL_PATH, channelOpener } from '../request/channelUrl';
 import type Listener from './Listener';
 
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
+/** Largest frame of a call: the largest body that settings allow, and headers. */
+const MAX_CALL_BYTES = 257 * 1024 * 1024;
+
+/** Takes the calls that a daemon makes over a connection that it opened. */
+export type ChannelAcceptor = (socket: WebSocket, raw: Socket, daemon: DaemonId) => void;
+
+function closeAll(server: WebSocketServer): void {
+  for (const socket of server.clients) socket.terminate();
+  server.close();
+}
 
 /**
- * Serves peers: their procedures over WebSocket and HTTP below one path, their calls on all others.
+ * Serves peers: their procedures over WebSocket and HTTP below one path, the channels of their
+ * calls at another, and a sign of life.
  *
  * @param listener - The listening server.
  * @param router - The procedures.
- * @param calls - Answers the calls.
+ * @param accept - Takes channels.
  * @param meter - Counts the bytes of the procedures.
- * @returns Closes the WebSocket connections.
+ * @returns Closes the connections.
  */
 export default function servePeers(
   listener: Listener,
   router: PeerRouter,
-  calls: PeerCallHandler,
+  accept: ChannelAcceptor,
   meter: SocketMeter,
 ): Disposable {
   const procedures = createHTTPHandler({ router, basePath: `${PEER_PATH}/` });
@@ -35,21 +49,32 @@
       meter.track(message.socket);
       procedures(message, response);
     } else {
-      void calls.handle(message, response);
+      response.writeHead(404);
+      response.end();
     }
   });
-  const sockets = new WebSocketServer({
-    server: listener.server,
-    path: PEER_PATH,
-    perMessageDeflate: false,
-    maxPayload: MAX_MESSAGE_BYTES,
+  const options = { noServer: true, perMessageDeflate: false };
+  const peers = new WebSocketServer({ ...options, maxPayload: MAX_MESSAGE_BYTES });
+  const channels = new WebSocketServer({ ...options, maxPayload: MAX_CALL_BYTES });
+  listener.server.on('upgrade', (request: IncomingMessage, duplex: Duplex, head: Buffer) => {
+    const url = request.url ?? '';
+    const opener = url.startsWith(`${CHANNEL_PATH}?`) ? channelOpener(url) : undefined;
+    if (opener !== undefined) {
+      channels.handleUpgrade(request, duplex, head, (socket) =>
+        accept(socket, request.socket, opener),
+      );
+    } else if (url.split('?', 1)[0] === PEER_PATH) {
+      meter.track(request.socket);
+      peers.handleUpgrade(request, duplex, head, (socket) =>
+        peers.emit('connection', socket, request),
+      );
+    } else duplex.destroy();
   });
-  sockets.on('connection', (_socket, request) => meter.track(request.socket));
-  applyWSSHandler({ wss: sockets, router, experimental_encoder: messageEncoder });
+  applyWSSHandler({ wss: peers, router, experimental_encoder: messageEncoder });
   return {
     dispose: () => {
-      for (const socket of sockets.clients) socket.terminate();
-      sockets.close();
+      closeAll(peers);
+      closeAll(channels);
     },
   };
 }
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -84,7 +84,6 @@
       max_body_bytes: count(1, 256 * MEBIBYTE, MEBIBYTE),
       max_header_bytes: count(1024, MEBIBYTE, 16 * 1024),
       max_open: count(1, 1_000_000, 2_000),
-      peer_connections: count(1, 1_000, 128),
       connect: duration('1s'),
       quiet: duration('300ms'),
       silence: duration('1s'),
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -30,13 +30,14 @@
 import SocketMeter from '../connection/SocketMeter';
 import type { ContactStore, LogTailState, MemberRecord } from '../connection/Types';
 import AttemptRegistry, { DEFAULT_REGISTRY_OPTIONS } from '../request/AttemptRegistry';
+import CallChannels from '../request/CallChannels';
 import CallHandler from '../request/CallHandler';
+import ChannelSession from '../request/ChannelSession';
 import ForecastBalancer from '../request/ForecastBalancer';
 import OWN_HEADER_NAMES from '../request/headerNames';
 import OverloadGuard from '../request/OverloadGuard';
 import PeerCallHandler from '../request/PeerCallHandler';
 import PeerLiveness from '../request/PeerLiveness';
-import PeerPools from '../request/PeerPools';
 import PeerTransport from '../request/PeerTransport';
 import RoutingTransport from '../request/RoutingTransport';
 import { mergeFolder } from '../version/mergeFolder';
@@ -237,20 +238,32 @@
     }),
   );
   const { calls } = settings;
+  const channels = resources.add(
+    new CallChannels(settings.daemon.name, calls.connect, clock, logger('peer')),
+  );
   const liveness = resources.add(
-    new PeerLiveness(probeDaemon, { silenceMs: calls.quiet }, clock, logger('peer')),
+    new PeerLiveness(
+      async (address) => {
+        channels.ping(address);
+        const answers = await probeDaemon(address);
+        if (answers) channels.closeSilent(address);
+        return answers;
+      },
+      { silenceMs: calls.quiet },
+      clock,
+      logger('peer'),
+    ),
   );
   const balancer = new ForecastBalancer(members, liveness, settings.daemon.zone, clock, random);
-  const pools = resources.add(new PeerPools(calls.peer_connections, calls.connect, clock));
   const sweeper = setInterval(() => {
     balancer.sweep();
-    pools.sweep();
+    channels.sweep();
   }, SWEEP_MS).unref();
   resources.add({ dispose: () => clearInterval(sweeper) });
   const transport = new RoutingTransport(
     settings.daemon.name,
     () => registration.local?.upstream,
-    new PeerTransport(pools, createFence(asker), liveness, calls.silence, clock),
+    new PeerTransport(channels, createFence(asker), liveness, calls.silence, clock),
   );
   return { attempts, registration, balancer, transport };
 }
@@ -399,16 +412,26 @@
     fence: (attempt, giveUp) => attempts.fence(attempt, giveUp),
     reach: (id, address) => asker.reach(id, address),
   });
+  const lagMs = () => core.lag.currentMs;
   const peerCalls = new PeerCallHandler({
     local: () => registration.local,
     incarnation: () => members.self.incarnation,
-    maxBodyBytes: bodyLimit(holder, versions),
     names,
     clock,
-    lagMs: () => core.lag.currentMs,
+    lagMs,
     logger: logger('upstream'),
   });
-  resources.add(servePeers(listeners.peers, router, peerCalls, meter));
+  resources.add(
+    servePeers(
+      listeners.peers,
+      router,
+      (socket, raw, daemon) => {
+        // The session lives as long as its socket.
+        void new ChannelSession(socket, raw, daemon, peerCalls, names, clock, lagMs);
+      },
+      meter,
+    ),
+  );
   const app = polka({ onNoMatch: (message, response) => void calls.handle(message, response) });
   listeners.calls.handle(app.handler as never);
   const inspection = new Inspection({
--- a/src/request/Admission.ts
+++ b/src/request/Admission.ts
@@ -2,6 +2,7 @@
 import type { Priority, Service } from '../version/Types';
 import NotRunError from './NotRunError';
 import ServiceTimes from './ServiceTimes';
+import type { CancelSignal } from './Types';
 
 /** Share of its slots that a cold upstream starts with. */
 const COLD_SHARE = 0.25;
@@ -138,7 +139,7 @@
    * @returns The slot's release.
    * @throws NotRunError - The queue is full, the wait would be too long, or the caller left.
    */
-  public acquire(request: AdmissionRequest, signal: AbortSignal): Promise<Release> {
+  public acquire(request: AdmissionRequest, signal: CancelSignal): Promise<Release> {
     if (this.queue.length === 0 && this.occupied() < this.slots()) {
       return Promise.resolve(this.take(request));
     }
@@ -158,7 +159,7 @@
   private wait(
     request: AdmissionRequest,
     durationMs: number,
-    signal: AbortSignal,
+    signal: CancelSignal,
   ): Promise<Release> {
     return new Promise((resolve, reject) => {
       const leave = () => {
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -12,6 +12,7 @@
   AttemptTransport,
   Balancer,
   CallRequest,
+  CancelSignal,
   Upstream,
 } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
@@ -124,7 +125,7 @@
    * @throws NotRunError - No attempt ran.
    * @throws UnknownOutcomeError - Some attempt may have run.
    */
-  public async run(signal: AbortSignal): Promise<Answer> {
+  public async run(signal: CancelSignal): Promise<Answer> {
     this.budget.deposit(this.terms.retryBudget);
     for (let offers = 1; ; offers += 1) {
       const upstream = this.choose();
@@ -158,14 +159,14 @@
   }
 
   /** Whether a failure that an upstream answered with is worth another attempt. */
-  private mayImprove(answer: Answer, signal: AbortSignal): boolean {
+  private mayImprove(answer: Answer, signal: CancelSignal): boolean {
     if (!RETRIED_STATUSES.has(answer.status) || !this.idempotent || this.attemptsAbove > 1) {
       return false;
     }
     return !signal.aborted && this.hasTime() && this.mayReachAnother();
   }
 
-  private mayRetry(error: CallError, offers: number, signal: AbortSignal): boolean {
+  private mayRetry(error: CallError, offers: number, signal: CancelSignal): boolean {
     const notRun = error instanceof NotRunError;
     if (notRun) this.noteRoom(error);
     if (signal.aborted || !this.hasTime()) return false;
@@ -203,11 +204,11 @@
   /** Sends a second attempt where the first is a straggler and the call may run twice. */
   private hedged(
     upstream: Upstream,
-    signal: AbortSignal,
+    signal: CancelSignal,
     kind: 'first' | 'retry',
   ): Promise<Answer> {
     const { balancer, lagMs } = this.services;
-    const first = (cancel: AbortSignal) => this.attempt(upstream, cancel, kind);
+    const first = (cancel: CancelSignal) => this.attempt(upstream, cancel, kind);
     if (!this.idempotent || this.attemptsAbove > 1) return first(signal);
     const second = () => {
       if (lagMs() > MAX_HEDGE_LAG_MS) return undefined;
@@ -215,7 +216,7 @@
       // Where calls wait for slots, a second attempt delays more than it saves.
       if (!other || (balancer.known(other)?.load.waiting ?? 0) > 0) return undefined;
       if (!this.mayReachAnother()) return undefined;
-      return (cancel: AbortSignal) => this.attempt(other, cancel, 'hedge');
+      return (cancel: CancelSignal) => this.attempt(other, cancel, 'hedge');
     };
     return hedgedAttempt(first, second, this.stragglerMs(), signal);
   }
@@ -233,7 +234,7 @@
 
   private async attempt(
     upstream: Upstream,
-    signal: AbortSignal,
+    signal: CancelSignal,
     kind: AttemptTrace['kind'],
   ): Promise<Answer> {
     const { balancer, transport, clock, onAttempt } = this.services;
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -4,6 +4,7 @@
 import Call, { type CallServices, type CallTerms } from './Call';
 import { ATTEMPTS_HEADER, positiveHeader } from './callHeaders';
 import CALLER_LEFT from './callerLeft';
+import CancelSource from './CancelSource';
 import DeadlineError from './DeadlineError';
 import NotRunError from './NotRunError';
 import type OverloadGuard from './OverloadGuard';
@@ -13,7 +14,14 @@
 import RetryBudget, { type RetryAllowance } from './RetryBudget';
 import settleCloses from './settleCloses';
 import SplitDealers from './SplitDealers';
-import type { Answer, CallRequest, HeaderNames, Outcome, UpstreamDirectory } from './Types';
+import type {
+  Answer,
+  CallRequest,
+  CancelSignal,
+  HeaderNames,
+  Outcome,
+  UpstreamDirectory,
+} from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
 import waitingTime from './waitingTime';
 
@@ -183,7 +191,7 @@
     if (this.open > limits.maxOpenCalls) throw new NotRunError('too many calls are open here');
     const request = await readRequest(message, limits.maxBodyBytes(), names);
     Object.assign(record, { requestId: request.requestId });
-    const resolution = this.resolve(request.method, request.host, request.path);
+    const resolution = this.resolve(request.method, message.headers.host!, request.path);
     if (resolution.kind === 'refused') {
       const { refusal } = resolution;
       if (refusal.status === 503) throw new NotRunError(refusal.reason);
@@ -235,9 +243,9 @@
   private static async withDeadline(
     message: IncomingMessage,
     allowedMs: number,
-    run: (signal: AbortSignal) => Promise<Answer>,
+    run: (signal: CancelSignal) => Promise<Answer>,
   ): Promise<Answer> {
-    const cancel = new AbortController();
+    const cancel = new CancelSource();
     const { socket } = message;
     // A request behind others on its connection has no response event of its own for this.
     const leave = () => cancel.abort(CALLER_LEFT);
@@ -246,7 +254,7 @@
     let timer: NodeJS.Timeout | undefined;
     let late = false;
     try {
-      const running = run(cancel.signal);
+      const running = run(cancel);
       const deadline = new Promise<never>((_resolve, reject) => {
         timer = setTimeout(() => {
           late = true;
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -7,7 +7,14 @@
 import ExchangeError from './ExchangeError';
 import NotRunError from './NotRunError';
 import type StreamedAnswer from './StreamedAnswer';
-import type { Answer, AttemptContext, CallRequest, HeaderNames, UpstreamLoad } from './Types';
+import type {
+  Answer,
+  AttemptContext,
+  CallRequest,
+  CancelSignal,
+  HeaderNames,
+  UpstreamLoad,
+} from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
 
 /** An answer that comes after its deadline is still awaited this long, for its connection's sake. */
@@ -121,7 +128,7 @@
   public async run(
     request: CallRequest,
     context: AttemptContext,
-    signal: AbortSignal,
+    signal: CancelSignal,
   ): Promise<Answer> {
     const { registry } = this.services;
     const { id } = context;
@@ -163,7 +170,7 @@
   private async dispatch(
     request: CallRequest,
     context: AttemptContext,
-    signal: AbortSignal,
+    signal: CancelSignal,
     release: () => void,
   ): Promise<Answer> {
     const { clock, names } = this.services;
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -1,33 +1,25 @@
 import type { Clock } from '../common/Types';
-import {
-  OUTCOME_HEADER,
-  parseLoad,
-  peerCallHeaders,
-  REACHED_HEADER,
-  REASON_HEADER,
-  ROOM_HEADER,
-} from './callHeaders';
+import type CallChannel from './CallChannel';
+import type { ChannelCall, ChannelReply } from './CallChannel';
+import type CallChannels from './CallChannels';
 import CALLER_LEFT from './callerLeft';
-import exchange from './exchange';
 import ExchangeError from './ExchangeError';
 import NotRunError from './NotRunError';
-import type PeerPools from './PeerPools';
-import type StreamedAnswer from './StreamedAnswer';
+import StreamedAnswer from './StreamedAnswer';
 import type {
   Answer,
   AttemptContext,
   AttemptState,
   AttemptTransport,
   CallRequest,
+  CancelSignal,
   Liveness,
   Upstream,
 } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
 
-/** Longest pause within a body before its connection counts as silent. */
-const BODY_TIMEOUT_MS = 30_000;
 /** Socket errors of connections that were never opened. */
-const UNREACHABLE_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
+const UNREACHABLE_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH']);
 
 /**
  * Asks an upstream's daemon, on a new connection, what became of an attempt, and forbids it if it
@@ -48,14 +40,14 @@
 /** Sends attempts to the daemon beside the upstream. */
 export default class PeerTransport implements AttemptTransport {
   /**
-   * @param pools - Connections to other daemons.
+   * @param channels - Connections to other daemons.
    * @param fence - Resolves attempts on connections that failed or fell silent.
    * @param liveness - Watches whether other daemons answer at all.
    * @param silenceMs - How long to wait for an answer's head before asking, in milliseconds.
    * @param clock - Source of time.
    */
   public constructor(
-    private readonly pools: PeerPools,
+    private readonly channels: CallChannels,
     private readonly fence: Fence,
     private readonly liveness: Liveness,
     private readonly silenceMs: number,
@@ -66,44 +58,38 @@
     upstream: Upstream,
     request: CallRequest,
     context: AttemptContext,
-    signal: AbortSignal,
+    signal: CancelSignal,
   ): Promise<Answer> {
-    const pool = this.pools.get(upstream.address);
-    let abort: () => void;
-    let verdict: Error | undefined;
+    const channel = this.channels.get(upstream.address);
+    const call = channel.send(
+      {
+        target: upstream.incarnation,
+        context,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        body: request.body,
+      },
+      signal,
+    );
+    const doubt: { verdict: Error | undefined } = { verdict: undefined };
     const giveUp = (error: Error) => {
-      verdict = error;
-      this.pools.leave(upstream.address, pool);
-      abort();
+      doubt.verdict = error;
+      this.channels.leave(upstream.address, channel);
+      call.abort();
     };
     const watch = this.watch(upstream, context, giveUp);
-    const life = this.liveness.watch(upstream.address, () => {
-      // What may run only once has nothing to gain: its answer may still come.
-      if (context.idempotent) giveUp(new UnknownOutcomeError('the daemon stopped answering'));
-    });
+    const life = this.liveness.watch(upstream.address, () =>
+      PeerTransport.loseSight(call, context, giveUp),
+    );
     try {
-      const answer = await exchange({
-        dispatcher: pool,
-        origin: `http://${upstream.address}`,
-        request,
-        headers: peerCallHeaders(request, context, upstream.incarnation, this.clock.now()),
-        headTimeoutMs: 0,
-        bodyTimeoutMs: BODY_TIMEOUT_MS,
-        signal,
-        onStart: (cancel) => {
-          abort = cancel;
-        },
-      });
+      const reply = await call.reply;
       this.liveness.heard(upstream.address);
-      return PeerTransport.judge(answer);
+      return PeerTransport.judge(reply);
     } catch (error) {
-      if (verdict) throw verdict;
+      if (doubt.verdict) throw doubt.verdict;
       if (!(error instanceof ExchangeError)) throw error;
-      if (signal.reason === CALLER_LEFT) throw new UnknownOutcomeError('the caller left');
-      if (error.code !== undefined && UNREACHABLE_CODES.has(error.code)) {
-        this.liveness.refused(upstream.address);
-      }
-      throw await this.resolve(upstream, context, error);
+      throw await this.explain(upstream, context, signal, channel, error);
     } finally {
       clearTimeout(watch.timer);
       watch.stopped = true;
@@ -111,6 +97,31 @@
     }
   }
 
+  /** Frees a call whose daemon stopped answering; what may run once has nothing to gain by that. */
+  private static loseSight(
+    call: ChannelCall,
+    { idempotent }: AttemptContext,
+    giveUp: (error: Error) => void,
+  ): void {
+    if (!call.isSent()) giveUp(new NotRunError('never sent: the daemon stopped answering'));
+    else if (idempotent) giveUp(new UnknownOutcomeError('the daemon stopped answering'));
+  }
+
+  private async explain(
+    upstream: Upstream,
+    context: AttemptContext,
+    signal: CancelSignal,
+    channel: CallChannel,
+    error: ExchangeError,
+  ): Promise<Error> {
+    if (signal.reason === CALLER_LEFT) return new UnknownOutcomeError('the caller left');
+    if (error.code !== undefined && UNREACHABLE_CODES.has(error.code)) {
+      this.liveness.refused(upstream.address);
+    }
+    this.channels.leave(upstream.address, channel);
+    return this.resolve(upstream, context, error);
+  }
+
   /** Asks after a silent attempt again and again, on new connections, until it is resolved. */
   private watch(
     upstream: Upstream,
@@ -151,19 +162,10 @@
   }
 
   /** Tells an answer of the upstream from a refusal of its daemon. */
-  private static judge(answer: StreamedAnswer): Answer {
-    const { headers } = answer;
-    const load = parseLoad(headers);
-    const outcome = headers[OUTCOME_HEADER];
-    if (outcome === 'answered') return Object.assign(answer, { load });
-    const reason = String(headers[REASON_HEADER] ?? 'no reason given');
-    answer.discard();
+  private static judge(reply: ChannelReply): Answer {
+    if (reply instanceof StreamedAnswer) return reply;
+    const { outcome, reason, load, roomMs, reachedUpstream } = reply;
     if (outcome !== 'not-run') throw new UnknownOutcomeError(reason);
-    const roomMs = Number(headers[ROOM_HEADER]);
-    throw new NotRunError(reason, {
-      load,
-      retryAfterMs: Number.isFinite(roomMs) ? roomMs : undefined,
-      reachedUpstream: headers[REACHED_HEADER] !== undefined,
-    });
+    throw new NotRunError(reason, { load, retryAfterMs: roomMs, reachedUpstream });
   }
 }
--- a/src/request/RoutingTransport.ts
+++ b/src/request/RoutingTransport.ts
@@ -1,7 +1,14 @@
 import type { DaemonId } from '../common/Types';
 import type LocalUpstream from './LocalUpstream';
 import NotRunError from './NotRunError';
-import type { Answer, AttemptContext, AttemptTransport, CallRequest, Upstream } from './Types';
+import type {
+  Answer,
+  AttemptContext,
+  AttemptTransport,
+  CallRequest,
+  CancelSignal,
+  Upstream,
+} from './Types';
 
 /** Saves the hop between daemons where the chosen upstream is the one beside this daemon. */
 export default class RoutingTransport implements AttemptTransport {
@@ -20,7 +27,7 @@
     upstream: Upstream,
     request: CallRequest,
     context: AttemptContext,
-    signal: AbortSignal,
+    signal: CancelSignal,
   ): Promise<Answer> {
     if (upstream.daemon !== this.own) return this.remote.send(upstream, request, context, signal);
     const local = this.local();
--- a/src/request/StreamedAnswer.ts
+++ b/src/request/StreamedAnswer.ts
@@ -1,10 +1,17 @@
 import type { IncomingHttpHeaders } from 'node:http';
-import type { Dispatcher } from 'undici';
 import BrokenAnswerError from './BrokenAnswerError';
 import type { Answer, AnswerSink, UpstreamLoad } from './Types';
 
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
+/** Steers where the body of an answer comes from. */
+export interface BodySource {
+  readonly paused: boolean;
+  pause(): void;
+  resume(): void;
+  abort(error: Error): void;
+}
+
 type State = 'open' | 'complete' | 'broken';
 
 /** An answer whose body is held back, up to a bound, until someone takes it. */
@@ -23,27 +30,32 @@
 
   private settle: { resolve: () => void; reject: (error: Error) => void } | undefined;
 
-  private closed: (() => void) | undefined;
+  private readonly closed: (() => void)[] = [];
 
   public constructor(
     public readonly status: number,
     public readonly headers: IncomingHttpHeaders,
-    private readonly controller: Dispatcher.DispatchController,
+    private readonly source: BodySource,
   ) {}
 
   /** @param closed - Called once, when the body is complete, broken or given up. */
   public onceClosed(closed: () => void): void {
-    if (this.state === 'open') this.closed = closed;
+    if (this.state === 'open') this.closed.push(closed);
     else closed();
   }
 
+  public get whole(): Buffer | undefined {
+    if (this.state !== 'complete' || this.sink) return undefined;
+    return this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
+  }
+
   public pipe(sink: AnswerSink): Promise<void> {
     this.sink = sink;
     for (const chunk of this.chunks) sink.write(chunk);
     this.chunks = [];
     if (this.state === 'complete') return Promise.resolve();
     if (this.failure) return Promise.reject(this.failure);
-    if (this.controller.paused) this.controller.resume();
+    if (this.source.paused) this.source.resume();
     return new Promise((resolve, reject) => {
       this.settle = { resolve, reject };
     });
@@ -56,7 +68,7 @@
 
   public dispose(): void {
     if (this.state !== 'open') return;
-    this.controller.abort(new BrokenAnswerError('the answer was given up'));
+    this.source.abort(new BrokenAnswerError('the answer was given up'));
     this.fail('the answer was given up');
   }
 
@@ -65,12 +77,12 @@
     if (!this.sink) {
       this.chunks.push(chunk);
       this.bufferedBytes += chunk.length;
-      if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.controller.pause();
+      if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.source.pause();
       return;
     }
     if (this.sink.write(chunk)) return;
-    this.controller.pause();
-    this.sink.onDrain(() => this.controller.resume());
+    this.source.pause();
+    this.sink.onDrain(() => this.source.resume());
   }
 
   /** The body is complete. */
@@ -78,7 +90,7 @@
     if (this.state !== 'open') return;
     this.state = 'complete';
     this.settle?.resolve();
-    this.closed?.();
+    this.close();
   }
 
   /** @param reason - Why the body broke off. */
@@ -87,6 +99,10 @@
     this.state = 'broken';
     this.failure = new BrokenAnswerError(reason);
     this.settle?.reject(this.failure);
-    this.closed?.();
+    this.close();
+  }
+
+  private close(): void {
+    for (const closed of this.closed.splice(0)) closed();
   }
 }
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -16,6 +16,7 @@
   ZoneName,
 } from '../common/Types';
 import type { Priority } from '../version/Types';
+import type { CallFrame, RefusalFrame } from './channelFrames';
 
 /** Names of the headers that callers and upstreams use, in lower case. */
 export interface HeaderNames {
@@ -43,6 +44,29 @@
   readonly number: AttemptNumber;
 }
 
+/** Runs the calls that other daemons send over channels. */
+export interface ChannelCalls {
+  /**
+   * @param frame - A call of another daemon.
+   * @param cancel - Cancels it.
+   * @returns The upstream's answer, with its load.
+   * @throws NotRunError - It didn't run and never will.
+   * @throws UnknownOutcomeError - It may have run.
+   */
+  run(frame: CallFrame, cancel: CancelSignal): Promise<Answer>;
+  /**
+   * @param frame - A call.
+   * @param error - Why it has no answer; it is logged there.
+   * @returns What the other daemon is told.
+   */
+  refusalOf(frame: CallFrame, error: Error): Omit<RefusalFrame, 'kind' | 'number'>;
+  /**
+   * @param daemon - Who sent a frame that can't be read.
+   * @param error - Why.
+   */
+  noteBadFrame(daemon: DaemonId, error: Error): void;
+}
+
 /** What an upstream's daemon knows about an attempt. */
 export type AttemptState = 'queued' | 'running' | 'done' | 'forbidden' | 'forgotten';
 
@@ -76,8 +100,6 @@
 /** A request held whole, so that it can be sent again. */
 export interface CallRequest {
   readonly method: string;
-  /** Host header, as it came. */
-  readonly host: string;
   /** Path with the query. */
   readonly path: string;
   /** The caller's id; `undefined` where it sent none. */
@@ -110,6 +132,8 @@
   readonly headers: IncomingHttpHeaders;
   /** Load of the upstream, where its daemon told it. */
   readonly load?: UpstreamLoad;
+  /** The body, where all of it is here and nobody has taken it. */
+  readonly whole?: Buffer | undefined;
   /**
    * Hands the body over with backpressure, once.
    *
@@ -130,6 +154,15 @@
   onDrain(resume: () => void): void;
 }
 
+/** Tells work in progress that it was cancelled; each listener is called once. */
+export interface CancelSignal {
+  readonly aborted: boolean;
+  /** Why, once it was cancelled. */
+  readonly reason: unknown;
+  addEventListener(type: 'abort', listener: () => void, options?: { readonly once: true }): void;
+  removeEventListener(type: 'abort', listener: () => void): void;
+}
+
 /** Sends one attempt to one upstream. */
 export interface AttemptTransport {
   /**
@@ -145,7 +178,7 @@
     upstream: Upstream,
     request: CallRequest,
     context: AttemptContext,
-    signal: AbortSignal,
+    signal: CancelSignal,
   ): Promise<Answer>;
 }
 
--- a/src/request/callHeaders.ts
+++ b/src/request/callHeaders.ts
@@ -4,15 +4,8 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from 'node:http';
-import type {
-  AttemptNumber,
-  DaemonId,
-  Incarnation,
-  InstanceId,
-  RouteName,
-  ServiceName,
-} from '../common/Types';
-import type { AttemptContext, AttemptId, CallRequest, HeaderNames, UpstreamLoad } from './Types';
+import type { InstanceId, RequestId } from '../common/Types';
+import type { AttemptContext, CallRequest, HeaderNames } from './Types';
 
 /** Prefix of the product's own headers. */
 const PREFIX = 'x-azurestream-';
@@ -23,17 +16,6 @@
 export const REASON_HEADER = 'x-azurestream-reason';
 /** Attempts made for a call so far, on all levels above. */
 export const ATTEMPTS_HEADER = 'x-azurestream-attempts';
-/** Load of the upstream, from the daemon beside it. */
-export const LOAD_HEADER = 'x-azurestream-load';
-/** Milliseconds after which a daemon expects room. */
-export const ROOM_HEADER = 'x-azurestream-room-ms';
-
-/** The upstream itself turned the call away. */
-export const REACHED_HEADER = 'x-azurestream-reached-upstream';
-
-/** One attempt between daemons: all its parts in one header, for few bytes between zones. */
-const CALL_HEADER = 'x-azurestream-call';
-const CALL_PARTS = 9;
 
 /** @see {@link https://www.rfc-editor.org/rfc/rfc9110#section-7.6.1} */
 const HOP_BY_HOP = new Set([
@@ -49,13 +31,6 @@
   'expect',
 ]);
 
-/** A call as a peer sent it. */
-export interface PeerCall {
-  readonly context: AttemptContext;
-  /** Incarnation of the daemon that the peer meant. */
-  readonly target: Incarnation;
-}
-
 function namedByConnection(connection: string | undefined): ReadonlySet<string> {
   if (!connection || connection === 'keep-alive' || connection === 'close') return new Set();
   return new Set(connection.split(',').map((name) => name.trim().toLowerCase()));
@@ -117,35 +92,6 @@
   return Math.max(1, Math.round(until - now));
 }
 
-/**
- * @param request - The call.
- * @param context - What travels with it.
- * @param target - Incarnation of the daemon it is meant for.
- * @param now - Monotonic time in ms.
- * @returns Headers for the peer.
- */
-export function peerCallHeaders(
-  request: CallRequest,
-  context: AttemptContext,
-  target: Incarnation,
-  now: number,
-): string[] {
-  const { daemon, incarnation, number } = context.id;
-  const parts = [
-    `${incarnation}.${number}.${daemon}`,
-    target,
-    context.service,
-    context.route,
-    context.priority,
-    millisecondsLeft(context.deadline, now),
-    // May be negative: an answer that is late already.
-    Math.round(context.objective - now),
-    context.attempts,
-    context.callerService ?? '',
-  ];
-  return [...request.headers, CALL_HEADER, parts.join(';')];
-}
-
 /**
  * @param request - The call.
  * @param context - What travels with it.
@@ -189,83 +135,13 @@
 }
 
 /**
- * @param load - Load of the upstream beside this daemon.
- * @returns Value of the load header.
- */
-export function formatLoad(load: UpstreamLoad): string {
-  const { running, waiting, slots, waitMs, durationMs, failureShare, lagMs } = load;
-  const duration = durationMs === undefined ? '' : Math.round(durationMs);
-  return [
-    running,
-    waiting,
-    slots,
-    Math.round(waitMs),
-    duration,
-    failureShare.toFixed(2),
-    Math.round(lagMs),
-  ].join(',');
-}
-
-/**
- * @param headers - Headers of an answer from a peer.
- * @returns The load that it tells, or `undefined` where it tells none.
- */
-export function parseLoad(headers: IncomingHttpHeaders): UpstreamLoad | undefined {
-  const text = headers[LOAD_HEADER];
-  if (typeof text !== 'string') return undefined;
-  const [running, waiting, slots, waitMs, duration, failureShare, lagMs] = text.split(',');
-  const load = {
-    running: Number(running),
-    waiting: Number(waiting),
-    slots: Number(slots),
-    waitMs: Number(waitMs),
-    durationMs: duration ? Number(duration) : undefined,
-    failureShare: Number(failureShare),
-    lagMs: Number(lagMs),
-  };
-  const { durationMs, ...required } = load;
-  const numbers = [...Object.values(required), durationMs ?? 0];
-  return numbers.every(Number.isFinite) && load.slots > 0 ? load : undefined;
-}
-
-function parseAttempt(text: string): AttemptId {
-  const [incarnation, number, ...daemon] = text.split('.');
-  return {
-    incarnation: Number(incarnation) as Incarnation,
-    number: Number(number) as AttemptNumber,
-    daemon: daemon.join('.') as DaemonId,
-  };
-}
-
-/**
- * @param headers - Headers from a peer.
- * @param now - Monotonic time in ms.
- * @returns The call, or `undefined` where this is none.
+ * @param headers - Names and values in turn.
+ * @param names - Names of the callers' headers.
+ * @returns The caller's id among them, if it sent one.
  */
-export function parsePeerCall(headers: IncomingHttpHeaders, now: number): PeerCall | undefined {
-  const text = headers[CALL_HEADER];
-  const parts = typeof text === 'string' ? text.split(';') : [];
-  if (parts.length !== CALL_PARTS) return undefined;
-  const [attempt, target, service, route, priority, deadlineMs, objectiveMs, attempts, caller] =
-    parts as [string, string, string, string, string, string, string, string, string];
-  const id = parseAttempt(attempt);
-  const numbers = [id.number, id.incarnation, Number(target), Number(priority), Number(attempts)];
-  if (!numbers.every(Number.isSafeInteger)) return undefined;
-  if (!Number.isFinite(Number(deadlineMs)) || !Number.isFinite(Number(objectiveMs))) {
-    return undefined;
+export function requestIdOf(headers: readonly string[], names: HeaderNames): RequestId | undefined {
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() === names.requestId) return headers[index + 1] as RequestId;
   }
-  return {
-    target: Number(target) as Incarnation,
-    context: {
-      id,
-      service: service as ServiceName,
-      route: route as RouteName,
-      priority: Number(priority),
-      idempotent: false,
-      deadline: now + Number(deadlineMs),
-      objective: now + Number(objectiveMs),
-      attempts: Number(attempts),
-      callerService: caller ? (caller as ServiceName) : undefined,
-    },
-  };
+  return undefined;
 }
--- /dev/null
+++ b/src/request/channelFrames.test.ts
@@ -0,0 +1,138 @@
+import * as fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { DaemonId } from '../common/Types';
+import {
+  decodeReplyFrame,
+  decodeRequestFrame,
+  encodeFrame,
+  type CallFrame,
+  type ReplyFrame,
+  type RequestFrame,
+} from './channelFrames';
+import FrameError from './FrameError';
+
+const DAEMON = 'near' as DaemonId;
+const PROPERTY = { seed: 20261204, numRuns: 500 };
+
+/** Plain objects, as decoding makes them. */
+const record = <Value>(shape: { [Key in keyof Value]: fc.Arbitrary<Value[Key]> }) =>
+  fc.record(shape, { noNullPrototype: true });
+const count = fc.nat(1_000_000);
+const bytes = fc.uint8Array({ maxLength: 64 }).map((array) => Buffer.from(array));
+const load = record({
+  running: fc.nat(40),
+  waiting: fc.nat(40),
+  slots: fc.integer({ min: 1, max: 64 }),
+  waitMs: count,
+  durationMs: fc.option(count, { nil: undefined }),
+  failureShare: fc.nat(100).map((percent) => percent / 100),
+  lagMs: count,
+});
+
+/** Times are whole milliseconds in the future, as only what is left of them travels. */
+const call = record({
+  kind: fc.constant('call' as const),
+  number: count,
+  target: count,
+  context: record({
+    id: record({ daemon: fc.constant(DAEMON), incarnation: count, number: count }),
+    service: fc.string(),
+    route: fc.string(),
+    priority: fc.nat(9),
+    idempotent: fc.constant(false),
+    deadline: fc.integer({ min: 1, max: 60_000 }),
+    objective: fc.integer({ min: -60_000, max: 60_000 }),
+    attempts: count,
+    callerService: fc.option(fc.string(), { nil: undefined }),
+  }),
+  method: fc.string(),
+  path: fc.string(),
+  headers: fc.array(fc.string()),
+  body: fc.option(bytes),
+}) as unknown as fc.Arbitrary<CallFrame>;
+
+const request = fc.oneof(
+  call,
+  record({ kind: fc.constant('cancel' as const), number: count }),
+  record({ kind: fc.constant('credit' as const), number: count, bytes: count }),
+) as unknown as fc.Arbitrary<RequestFrame>;
+
+const reply = fc.oneof(
+  record({
+    kind: fc.constant('answer' as const),
+    number: count,
+    status: fc.integer({ min: 200, max: 599 }),
+    headers: fc.dictionary(
+      fc.constantFrom('server', 'etag', 'set-cookie'),
+      fc.oneof(fc.string(), fc.array(fc.string())),
+      { noNullPrototype: true },
+    ),
+    load,
+    whole: fc.option(bytes, { nil: undefined }),
+  }),
+  record({ kind: fc.constant('body' as const), number: count, chunk: bytes }),
+  record({ kind: fc.constant('end' as const), number: count, complete: fc.boolean() }),
+  record({
+    kind: fc.constant('refusal' as const),
+    number: count,
+    outcome: fc.constantFrom('not-run' as const, 'unknown' as const),
+    reason: fc.string(),
+    load: fc.option(load, { nil: undefined }),
+    roomMs: fc.option(count, { nil: undefined }),
+    reachedUpstream: fc.boolean(),
+  }),
+) as unknown as fc.Arbitrary<ReplyFrame>;
+
+test('frames survive their encoding', () => {
+  fc.assert(
+    fc.property(request, (frame) => {
+      assert.equal(decodeRequestFrame(encodeFrame(frame, 0), DAEMON, 0), frame);
+    }),
+    PROPERTY,
+  );
+  fc.assert(
+    fc.property(reply, (frame) => {
+      assert.equal(decodeReplyFrame(encodeFrame(frame, 0)), frame);
+    }),
+    PROPERTY,
+  );
+});
+
+test('a time left counts from when its frame is read', () => {
+  const [frame] = fc.sample(call, { seed: 3, numRuns: 1 }) as [CallFrame];
+  const later = decodeRequestFrame(encodeFrame(frame, 0), DAEMON, 500) as CallFrame;
+  assert.is(later.context.deadline, frame.context.deadline + 500);
+  assert.is(later.context.objective, frame.context.objective + 500);
+});
+
+test('bytes that are no frame are refused, whatever they are', () => {
+  const refused = (decode: () => unknown) => {
+    try {
+      decode();
+    } catch (error) {
+      assert.instance(error, FrameError);
+    }
+  };
+  const spoilt = fc.oneof(
+    fc.uint8Array({ maxLength: 80 }),
+    fc.tuple(fc.oneof(request, reply), fc.nat(400), fc.nat(255)).map(([frame, at, byte]) => {
+      const whole = encodeFrame(frame, 0);
+      whole[at % whole.length] = byte;
+      return whole;
+    }),
+    fc.tuple(fc.oneof(request, reply), fc.nat(400)).map(([frame, at]) => {
+      const whole = encodeFrame(frame, 0);
+      return whole.subarray(0, at % whole.length);
+    }),
+  );
+  fc.assert(
+    fc.property(spoilt, (data) => {
+      refused(() => decodeRequestFrame(data, DAEMON, 0));
+      refused(() => decodeReplyFrame(data));
+    }),
+    { ...PROPERTY, numRuns: 3_000 },
+  );
+});
+
+test.run();
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from 'undici';
 import ExchangeError from './ExchangeError';
 import StreamedAnswer from './StreamedAnswer';
-import type { CallRequest } from './Types';
+import type { CallRequest, CancelSignal } from './Types';
 
 /** One HTTP request to one place. */
 export interface Exchange {
@@ -15,7 +15,7 @@
   readonly headTimeoutMs: number;
   /** Longest pause within the answer's body, in milliseconds. */
   readonly bodyTimeoutMs: number;
-  readonly signal: AbortSignal;
+  readonly signal: CancelSignal;
   /**
    * Gets a second way to cancel, which costs less than a signal of its own.
    *
@@ -42,7 +42,7 @@
   };
 
   public constructor(
-    private readonly signal: AbortSignal,
+    private readonly signal: CancelSignal,
     private readonly resolve: (answer: StreamedAnswer) => void,
     private readonly reject: (error: ExchangeError) => void,
   ) {
--- a/src/request/hedgedAttempt.ts
+++ b/src/request/hedgedAttempt.ts
@@ -1,10 +1,11 @@
-import type { Answer } from './Types';
+import CancelSource from './CancelSource';
+import type { Answer, CancelSignal } from './Types';
 
 /** Abort reason of an attempt whose other one was answered. A reason saves making an error. */
 const SUPERSEDED = Symbol('superseded');
 
 /** Runs one attempt until it is answered, fails or is cancelled. */
-export type Attempt = (cancel: AbortSignal) => Promise<Answer>;
+export type Attempt = (cancel: CancelSignal) => Promise<Answer>;
 
 /**
  * Runs an attempt, and a second one beside it where the first takes long. The first answer wins and
@@ -21,19 +22,19 @@
   first: Attempt,
   second: () => Attempt | undefined,
   delayMs: number,
-  signal: AbortSignal,
+  signal: CancelSignal,
 ): Promise<Answer> {
   return new Promise((resolve, reject) => {
-    const open = new Set<AbortController>();
+    const open = new Set<CancelSource>();
     let timer: NodeJS.Timeout;
     let won = false;
     const start = async (attempt: Attempt): Promise<void> => {
-      const cancel = new AbortController();
+      const cancel = new CancelSource();
       const leave = () => cancel.abort(signal.reason);
       signal.addEventListener('abort', leave, { once: true });
       open.add(cancel);
       try {
-        const answer = await attempt(cancel.signal);
+        const answer = await attempt(cancel);
         open.delete(cancel);
         if (won) {
           answer.dispose();
--- a/src/request/readRequest.ts
+++ b/src/request/readRequest.ts
@@ -53,7 +53,6 @@
   const requestId = message.headers[names.requestId];
   return {
     method: message.method!,
-    host: message.headers.host!,
     path: message.url!,
     requestId: typeof requestId === 'string' ? (requestId as RequestId) : undefined,
     headers: forwardedHeaders(message.rawHeaders, message.headers.connection, names),
--- a/src/request/relayAnswer.ts
+++ b/src/request/relayAnswer.ts
@@ -1,14 +1,6 @@
 import type { ServerResponse } from 'node:http';
-import {
-  answerHeaders,
-  formatLoad,
-  LOAD_HEADER,
-  OUTCOME_HEADER,
-  REACHED_HEADER,
-  REASON_HEADER,
-  ROOM_HEADER,
-} from './callHeaders';
-import type { Answer, AnswerSink, HeaderNames, Outcome, UpstreamLoad } from './Types';
+import { answerHeaders, OUTCOME_HEADER, REASON_HEADER } from './callHeaders';
+import type { Answer, AnswerSink, HeaderNames, Outcome } from './Types';
 
 const MS_PER_SECOND = 1_000;
 
@@ -17,12 +9,6 @@
   readonly status: number;
   readonly outcome: Outcome;
   readonly reason: string;
-  /** Load of the upstream, for peers. */
-  readonly load?: UpstreamLoad;
-  /** Milliseconds after which room is expected, for peers. */
-  readonly roomMs?: number;
-  /** The upstream itself turned the call away, for peers. */
-  readonly reachedUpstream?: boolean;
   /** Milliseconds after which a caller should come again. */
   readonly retryAfterMs?: number;
 }
@@ -34,6 +20,21 @@
   };
 }
 
+/** Writes head and body at once. */
+function endWhole(
+  status: number,
+  headers: Record<string, string | string[]>,
+  body: Buffer,
+  response: ServerResponse,
+): boolean {
+  if (response.destroyed) return false;
+  const framed = body.length > 0 && headers['content-length'] === undefined;
+  const length = framed ? { 'content-length': String(body.length) } : {};
+  response.writeHead(status, { ...headers, ...length });
+  response.end(body);
+  return true;
+}
+
 /**
  * Passes an answer on with backpressure. One that breaks off is broken off here too, so that a part
  * never looks whole.
@@ -41,18 +42,17 @@
  * @param answer - The answer.
  * @param response - Where it goes.
  * @param names - Names of the upstreams' headers.
- * @param load - Load of the upstream, for peers.
  * @returns Whether the answer was passed on whole.
  */
 export async function relayAnswer(
   answer: Answer,
   response: ServerResponse,
   names: HeaderNames,
-  load?: UpstreamLoad,
 ): Promise<boolean> {
   const headers = answerHeaders(answer.headers, names);
   headers[OUTCOME_HEADER] = 'answered';
-  if (load !== undefined) headers[LOAD_HEADER] = formatLoad(load);
+  const { whole } = answer;
+  if (whole) return endWhole(answer.status, headers, whole, response);
   response.once('close', () => answer.dispose());
   // Head and body leave in one segment where both are there.
   response.cork();
@@ -77,7 +77,7 @@
  */
 export function refuseCall(refusal: Refusal, response: ServerResponse): void {
   if (response.destroyed || response.headersSent) return;
-  const { load, roomMs, retryAfterMs, reachedUpstream } = refusal;
+  const { retryAfterMs } = refusal;
   const body = `${JSON.stringify({ outcome: refusal.outcome, reason: refusal.reason })}\n`;
   const headers: Record<string, string | number> = {
     'content-type': 'application/json',
@@ -85,9 +85,6 @@
     [OUTCOME_HEADER]: refusal.outcome,
     [REASON_HEADER]: refusal.reason.replace(/[^\x20-\x7e]/g, '?'),
   };
-  if (load) headers[LOAD_HEADER] = formatLoad(load);
-  if (roomMs !== undefined) headers[ROOM_HEADER] = Math.round(roomMs);
-  if (reachedUpstream) headers[REACHED_HEADER] = 1;
   if (retryAfterMs !== undefined) {
     headers['retry-after'] = (Math.max(0, retryAfterMs) / MS_PER_SECOND).toFixed(3);
   }
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -22,7 +22,8 @@
 /** Ranks of the two named priorities. */
 const NAMED_PRIORITIES = { interactive: 0, background: 1 } as const;
 
-const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
+/** A name of a service or a route. */
+export const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
 const PATH = /^\/[^\s?#]*$/;
 const HOST = /^[a-z0-9.[\]:-]{1,255}$/;
 
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -6,6 +6,7 @@
   defaultsSchema,
   limitsSchema,
   METHODS,
+  NAME,
   nameSchema,
   routeSchema,
   serviceSchema,
@@ -139,8 +140,9 @@
   for (const [name, { value, file }] of section) {
     const table = `${kind}.${name}`;
     const place = { file: file.name, content: file.content, table };
-    const nameResult = nameSchema.safeParse(name);
-    if (!nameResult.success) faults.push(...schemaFaults(nameResult.error, name, place));
+    if (!NAME.test(name)) {
+      faults.push(...schemaFaults(nameSchema.safeParse(name).error!, name, place));
+    }
     const result = validate(schema, value);
     if (result.success) parsed.set(name, result.data);
     else faults.push(...schemaFaults(result.error, value, place));
@@ -262,11 +264,14 @@
   routes: readonly Route[],
 ): Fault[] {
   const faults: Fault[] = [];
-  const owners = new Map<string, Route>();
+  const owners = new Map<string, Route[]>();
   for (const route of routes) {
     faults.push(...targetFaults(sections, services, route));
     const place = `${route.host ?? ''}${route.path}`;
-    const taken = route.methods.map((method) => owners.get(`${method} ${place}`)).find(Boolean);
+    const sharing = owners.get(place) ?? [];
+    const taken = sharing.find(({ methods }) =>
+      route.methods.some((method) => methods.includes(method)),
+    );
     if (taken) {
       faults.push(
         routeFault(sections, route, 'path', {
@@ -275,7 +280,7 @@
         }),
       );
     }
-    for (const method of route.methods) owners.set(`${method} ${place}`, route);
+    owners.set(place, [...sharing, route]);
   }
   return faults;
 }
