Don't take a reset for the end of an answer without a length

Garbled servers (unframed) crash in the middle of such answers, and callers got the part as a whole answer.

Change: UpstreamConnections hears of a reset before the client does, within the same emit, and the exchange then fails the answer.

--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -1,4 +1,3 @@
-import { Pool } from 'undici';
 import type { Clock, Disposable, InstanceId, Logger } from '../common/Types';
 import type MemberTable from '../connection/MemberTable';
 import type { UpstreamState } from '../connection/Types';
@@ -7,6 +6,7 @@
 import LocalUpstream from '../request/LocalUpstream';
 import type { LocalService } from '../request/PeerCallHandler';
 import type { HeaderNames } from '../request/Types';
+import UpstreamConnections from '../request/UpstreamConnections';
 import type { CurrentVersion, Service } from '../version/Types';
 import type { Announcement, Departure, UpstreamStatus } from './Types';
 
@@ -198,12 +198,11 @@
     const { address } = registered.announcement;
     const { attempts, names, lagMs, clock, logger } = this.services;
     return new LocalUpstream(limits, address, {
-      openPool: () =>
-        new Pool(`http://${address}`, {
+      connect: () =>
+        new UpstreamConnections(address, {
           connections: service.connections,
-          pipelining: 1,
-          connectTimeout: CONNECT_TIMEOUT_MS,
-          keepAliveTimeout: KEEP_ALIVE_MS,
+          connectMs: CONNECT_TIMEOUT_MS,
+          keepAliveMs: KEEP_ALIVE_MS,
         }),
       registry: attempts,
       names,
--- a/src/request/CallChannel.test.ts
+++ b/src/request/CallChannel.test.ts
@@ -259,7 +259,7 @@
     const { reply, isSent } = channels.get(nobody).send(call('/x'), new CancelSource());
     const error = await reply.catch((failure: unknown) => failure);
     assert.ok(error instanceof ExchangeError && !error.sent);
-    assert.is((error).code, 'ECONNREFUSED');
+    assert.is(error.code, 'ECONNREFUSED');
     assert.not.ok(isSent());
   });
 });
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -1,4 +1,3 @@
-import type { Dispatcher } from 'undici';
 import type { Address, Clock, Disposable, InstanceId, Logger } from '../common/Types';
 import Admission, { type UpstreamLimits } from './Admission';
 import type AttemptRegistry from './AttemptRegistry';
@@ -16,6 +15,7 @@
   UpstreamLoad,
 } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
+import type UpstreamConnections from './UpstreamConnections';
 
 /** An answer that comes after its deadline is still awaited this long, for its connection's sake. */
 const HEAD_TIMEOUT_SLACK_MS = 1_000;
@@ -30,13 +30,10 @@
 const MISDIRECTED = 421;
 const FIRST_FAILURE_STATUS = 500;
 
-/** A pool of connections that can be closed. */
-export type UpstreamPool = Dispatcher & { destroy(): Promise<void>; close(): Promise<void> };
-
 /** What a local upstream uses of its daemon. */
 export interface LocalUpstreamServices {
   /** Opens connections to the upstream. */
-  readonly openPool: () => UpstreamPool;
+  readonly connect: () => UpstreamConnections;
   /** Judges attempts. */
   readonly registry: AttemptRegistry;
   readonly names: HeaderNames;
@@ -60,7 +57,7 @@
 
   private readonly origin: string;
 
-  private pool: UpstreamPool;
+  private connections: UpstreamConnections;
 
   private failureShare = 0;
 
@@ -83,7 +80,7 @@
   ) {
     const { clock } = services;
     this.origin = `http://${address}`;
-    this.pool = services.openPool();
+    this.connections = services.connect();
     this.admission = new Admission(limits, clock, clock.now());
   }
 
@@ -164,7 +161,7 @@
   }
 
   public dispose(): void {
-    void this.pool.destroy();
+    this.connections.destroy();
   }
 
   private async dispatch(
@@ -174,12 +171,13 @@
     release: () => void,
   ): Promise<Answer> {
     const { clock, names } = this.services;
-    const { pool } = this;
+    const { connections } = this;
     const began = clock.now();
     let answer: StreamedAnswer;
     try {
       answer = await exchange({
-        dispatcher: pool,
+        dispatcher: connections.pool,
+        isResetting: () => connections.isResetting,
         origin: this.origin,
         request,
         headers: upstreamHeaders(request, context, this.instance, names, began),
@@ -191,7 +189,7 @@
     } catch (error) {
       const elapsedMs = clock.now() - began;
       release();
-      this.noteFailure(error as Error, context, pool, elapsedMs);
+      this.noteFailure(error as Error, context, connections, elapsedMs);
       throw LocalUpstream.translate(error as Error);
     }
     this.noteResult(answer.status >= FIRST_FAILURE_STATUS);
@@ -229,7 +227,7 @@
   private noteFailure(
     error: Error,
     { route, id }: AttemptContext,
-    pool: UpstreamPool,
+    connections: UpstreamConnections,
     elapsedMs: number,
   ): void {
     const { logger, onUnreachable } = this.services;
@@ -249,14 +247,15 @@
       MIN_SILENT_MS,
       SILENT_FACTOR * (this.admission.durationMs(route) ?? 0),
     );
-    if (aborted && elapsedMs > silentMs && this.pool === pool) this.renewPool();
+    if (aborted && elapsedMs > silentMs && this.connections === connections) {
+      this.renewConnections();
+    }
   }
 
   /** Leaves connections that may have gone silent; what runs on them goes on. */
-  private renewPool(): void {
-    const silent = this.pool;
-    this.pool = this.services.openPool();
-    void silent.close();
+  private renewConnections(): void {
+    this.connections.retire();
+    this.connections = this.services.connect();
     this.services.logger.log('Renewed the connections to the upstream.', { address: this.address });
   }
 
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -16,12 +16,8 @@
   /** Longest pause within the answer's body, in milliseconds. */
   readonly bodyTimeoutMs: number;
   readonly signal: CancelSignal;
-  /**
-   * Gets a second way to cancel, which costs less than a signal of its own.
-   *
-   * @param abort - Cancels the request.
-   */
-  readonly onStart?: (abort: () => void) => void;
+  /** Whether a connection of the dispatcher is being reset just now. */
+  readonly isResetting: () => boolean;
 }
 
 /** Receives what the HTTP client reports of one request. */
@@ -43,6 +39,7 @@
 
   public constructor(
     private readonly signal: CancelSignal,
+    private readonly isResetting: () => boolean,
     private readonly resolve: (answer: StreamedAnswer) => void,
     private readonly reject: (error: ExchangeError) => void,
   ) {
@@ -74,7 +71,9 @@
   }
 
   public onResponseEnd(): void {
-    this.answer?.complete();
+    // The client ends a body without a length also where its connection is reset.
+    if (this.isResetting()) this.answer?.fail('the connection was reset');
+    else this.answer?.complete();
   }
 
   public onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -97,8 +96,7 @@
 export default function exchange(options: Exchange): Promise<StreamedAnswer> {
   const { dispatcher, request, signal } = options;
   return new Promise((resolve, reject) => {
-    const handler = new ExchangeHandler(signal, resolve, reject);
-    options.onStart?.(handler.abort);
+    const handler = new ExchangeHandler(signal, options.isResetting, resolve, reject);
     dispatcher.dispatch(
       {
         origin: options.origin,
