Let durations that no call confirms fade, judge a route's first calls by its objective

Log: inner calls (250 ms) refused at once by the daemons beside the full customer records, 'the wait would pass the deadline', with 215 ms left. A daemon that restarts beside a full upstream sees long calls first, expects their mean of a call it has never seen, refuses all of them and so never learns. An average learned while the upstream was slow kept itself in the same way.

--- a/src/request/Admission.overload.test.ts
+++ b/src/request/Admission.overload.test.ts
@@ -56,6 +56,8 @@
   heldMs: number;
 }
 
+const EMPTY: Tally = { asked: 0, inTime: 0, late: 0, lost: 0, heldMs: 0 };
+
 interface Kind {
   readonly name: string;
   readonly perSecond: number;
@@ -63,12 +65,17 @@
   readonly objectiveMs: number;
   readonly deadlineMs: number;
   readonly priority: number;
+  /** When the first one comes, in milliseconds. */
+  readonly fromMs?: number;
+  /** When those that are counted begin, in milliseconds. */
+  readonly countedFromMs?: number;
 }
 
 /** Plays arrivals in steps of one millisecond. */
 async function play(
   createGate: (clock: ManualClock) => Gate,
   kinds: readonly Kind[],
+  slowness: (ms: number) => number = () => 1,
 ): Promise<Record<string, Tally>> {
   const clock = new ManualClock();
   const random = new SeededRandom(11);
@@ -92,12 +99,13 @@
       tally.heldMs = Math.max(tally.heldMs, clock.now() - began);
       return;
     }
-    const endsAt = Math.round(clock.now() + workMs * (0.7 + random.below(600) / 1_000));
+    const tookMs = workMs * slowness(clock.now()) * (0.7 + random.below(600) / 1_000);
+    const endsAt = Math.round(clock.now() + tookMs);
     const end = () => {
       release();
-      const tookMs = endsAt - began;
-      if (tookMs <= objectiveMs) tally.inTime += 1;
-      else if (tookMs <= deadlineMs) tally.late += 1;
+      const answeredMs = endsAt - began;
+      if (answeredMs <= objectiveMs) tally.inTime += 1;
+      else if (answeredMs <= deadlineMs) tally.late += 1;
       else {
         tally.lost += 1;
         tally.heldMs = Math.max(tally.heldMs, deadlineMs);
@@ -108,9 +116,11 @@
   for (let ms = 0; ms < SECONDS * 1_000 + DEADLINE_MS; ms += 1) {
     for (const end of ends.get(ms) ?? []) end();
     for (const kind of kinds) {
-      tallies[kind.name] ??= { asked: 0, inTime: 0, late: 0, lost: 0, heldMs: 0 };
-      const tally = tallies[kind.name]!;
-      const arrives = ms < SECONDS * 1_000 && random.below(1_000) < kind.perSecond;
+      tallies[kind.name] ??= { ...EMPTY };
+      const isCounted = ms >= (kind.countedFromMs ?? 0);
+      const tally = isCounted ? tallies[kind.name]! : { ...EMPTY };
+      const isOpen = ms >= (kind.fromMs ?? 0) && ms < SECONDS * 1_000;
+      const arrives = isOpen && random.below(1_000) < kind.perSecond;
       if (!arrives) continue;
       tally.asked += 1;
       void call(kind, tally);
@@ -144,21 +154,47 @@
   assert.ok(ours.heldMs < DEADLINE_MS / 2, `held for nothing: ${ours.heldMs} ms`);
 });
 
+const INNER: Kind = {
+  name: 'inner',
+  perSecond: 150,
+  workMs: INNER_WORK_MS,
+  objectiveMs: INNER_OBJECTIVE_MS,
+  deadlineMs: INNER_DEADLINE_MS,
+  priority: 2,
+};
+
 test('inner calls with a short objective are served while outer calls overload the slots', async () => {
-  const inner: Kind = {
-    name: 'inner',
-    perSecond: 150,
-    workMs: INNER_WORK_MS,
-    objectiveMs: INNER_OBJECTIVE_MS,
-    deadlineMs: INNER_DEADLINE_MS,
-    priority: 2,
-  };
-  const ours = (await play(admissionGate, [LOOKUP, inner])).inner!;
-  const plain = (await play(() => new PlainQueue(), [LOOKUP, inner])).inner!;
+  const ours = (await play(admissionGate, [LOOKUP, INNER])).inner!;
+  const plain = (await play(() => new PlainQueue(), [LOOKUP, INNER])).inner!;
   assert.ok(ours.inTime + ours.late > 0.95 * ours.asked, JSON.stringify(ours));
   assert.ok(plain.inTime + plain.late < 0.5 * plain.asked, JSON.stringify(plain));
 });
 
+test('the first inner calls are not judged by the long calls before them', async () => {
+  // A daemon that restarts beside a full upstream sees calls longer than inner ones may take.
+  const records: Kind = {
+    ...LOOKUP,
+    name: 'records',
+    perSecond: 80,
+    workMs: 400,
+    objectiveMs: 1_200,
+    deadlineMs: 6_000,
+  };
+  const ours = (await play(admissionGate, [records, { ...INNER, fromMs: 2_000 }])).inner!;
+  assert.ok(ours.inTime + ours.late > 0.9 * ours.asked, JSON.stringify(ours));
+});
+
+test('calls that were slow for a while are let in again once they may be fast', async () => {
+  const slowUntilMs = 1_000;
+  const factor = 15;
+  const slowness = (ms: number) => (ms < slowUntilMs ? factor : 1);
+  // The last slow call has ended by then, and two seconds are enough to forget.
+  const countedFromMs = slowUntilMs + 1.3 * factor * WORK_MS + 2_000;
+  const inner = { ...INNER, countedFromMs };
+  const ours = (await play(admissionGate, [LOOKUP, inner], slowness)).inner!;
+  assert.ok(ours.inTime > 0.95 * ours.asked, JSON.stringify(ours));
+});
+
 test('a higher rank is hardly refused while a lower one of the same service gives way', async () => {
   const booking: Kind = { ...LOOKUP, name: 'booking', perSecond: 90, priority: 1 };
   const ours = await play(admissionGate, [LOOKUP, booking]);
--- a/src/request/Admission.ts
+++ b/src/request/Admission.ts
@@ -143,7 +143,7 @@
     if (this.queue.length === 0 && this.occupied() < this.slots()) {
       return Promise.resolve(this.take(request));
     }
-    const durationMs = this.times.expected(request.route);
+    const durationMs = this.expectedMs(request);
     const refusal = this.refusal(request, durationMs);
     if (refusal) return Promise.reject(this.notRun(refusal));
     return this.wait(request, durationMs, signal);
@@ -189,7 +189,7 @@
 
   private take(request: AdmissionRequest): Release {
     const startedAt = this.clock.now();
-    const expectedMs = this.times.expected(request.route);
+    const expectedMs = this.expectedMs(request);
     // Before any call has ended nothing tells what is long.
     const overdueMs =
       expectedMs > 0 ? Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs) : Infinity;
@@ -197,7 +197,8 @@
     this.active.add(running);
     return () => {
       if (!this.active.delete(running)) return;
-      this.times.note(request.route, this.clock.now() - startedAt);
+      const endedAt = this.clock.now();
+      this.times.note(request.route, endedAt - startedAt, endedAt);
       this.fill();
     };
   }
@@ -242,6 +243,11 @@
     return undefined;
   }
 
+  private expectedMs({ route, objective }: AdmissionRequest): number {
+    const now = this.clock.now();
+    return this.times.expected(route, objective - now, now);
+  }
+
   private patience(request: AdmissionRequest, durationMs: number): number {
     const now = this.clock.now();
     const latestStart = request.deadline - durationMs;
--- a/src/request/PeerCallHandler.ts
+++ b/src/request/PeerCallHandler.ts
@@ -62,15 +62,17 @@
 
   private note({ context, headers }: CallFrame, error: Error): void {
     const { logger, clock, names } = this.services;
-    const { id, route, deadline } = context;
+    const { id, route, priority, deadline, objective } = context;
     const counts = this.services.local()?.upstream.counts;
     logger.log('Turned a call away.', {
       request: requestIdOf(headers, names),
       attempt: `${id.number}.${id.daemon}`,
       route,
+      priority,
       outcome: error instanceof NotRunError ? 'not-run' : 'unknown',
       reason: error.message,
       deadlineLeftMs: Math.round(deadline - clock.now()),
+      objectiveLeftMs: Math.round(objective - clock.now()),
       running: counts?.running,
       waiting: counts?.waiting,
     });
