Give slots to short calls first, and to kinds of one rank about as often

Change: calls up to 0.6 of the mean duration go first and keep their place until their deadline; within a rank and among those in time the route that was served the smaller share goes first.

--- a/src/request/Admission.overload.test.ts
+++ b/src/request/Admission.overload.test.ts
@@ -184,6 +184,27 @@
   assert.ok(ours.inTime + ours.late > 0.9 * ours.asked, JSON.stringify(ours));
 });
 
+test('inner calls go before long calls that would still be in time', async () => {
+  // Slots of long calls come free too seldom for inner calls to meet their objective.
+  const plans = { ...LOOKUP, name: 'plans', perSecond: 30, workMs: 800, objectiveMs: 2_000 };
+  const spec = { ...INNER, perSecond: 25, workMs: 57, objectiveMs: 150, deadlineMs: 500 };
+  const ours = await play(admissionGate, [{ ...plans, deadlineMs: 5_000 }, spec]);
+  const { inner } = ours;
+  assert.ok(inner!.inTime + inner!.late > 0.95 * inner!.asked, JSON.stringify(ours));
+});
+
+test('of two kinds of one rank the longer one is served about as often', async () => {
+  const terms = { ...LOOKUP, deadlineMs: 5_000 };
+  const history = { ...terms, name: 'history', perSecond: 70, workMs: 220, objectiveMs: 600 };
+  const hours = { ...terms, name: 'hours', perSecond: 40, workMs: 360, objectiveMs: 1_000 };
+  const ours = await play(admissionGate, [history, hours]);
+  const [short, long] = [ours.history!, ours.hours!].map(
+    ({ inTime, late, asked }) => (inTime + late) / asked,
+  );
+  assert.ok(Math.abs(short! - long!) < 0.15, JSON.stringify(ours));
+  assert.ok(Math.min(short!, long!) > 0.45, JSON.stringify(ours));
+});
+
 test('calls that were slow for a while are let in again once they may be fast', async () => {
   const slowUntilMs = 1_000;
   const factor = 15;
--- a/src/request/Admission.ts
+++ b/src/request/Admission.ts
@@ -1,6 +1,7 @@
 import type { Clock, RouteName } from '../common/Types';
 import type { Priority, Service } from '../version/Types';
 import NotRunError from './NotRunError';
+import ServedShares from './ServedShares';
 import ServiceTimes from './ServiceTimes';
 import type { CancelSignal } from './Types';
 
@@ -24,6 +25,14 @@
 /** A call counts as in time if it would be even after this many average durations. */
 const IN_TIME_FACTOR = 1.4;
 
+/**
+ * Calls up to this part of the mean duration go first: they hardly delay others, and those that made
+ * them hold a slot elsewhere until they are answered.
+ */
+const SHORT_PART = 0.6;
+/** Served shares within a step of this size count as equal. */
+const SHARE_STEP = 0.1;
+
 /** Limits of one upstream. */
 export type UpstreamLimits = Pick<Service, 'slots' | 'queue' | 'warmUpMs'>;
 
@@ -58,6 +67,9 @@
   readonly refuse: (reason: string) => void;
 }
 
+/** What a call's place among others is judged by. */
+type Candidate = Pick<Waiting, 'request' | 'durationMs'>;
+
 interface Running {
   readonly startedAt: number;
   readonly overdueAt: number;
@@ -67,9 +79,11 @@
  * Hands out the slots of the upstream beside this daemon, with a queue in front.
  *
  * Load it answers: arrivals above what the slots can finish, for seconds. First come, first served
- * makes every call late then. Here calls that can still meet their objective go first, by priority
- * and then by the earlier objective; one that can't is let in only for a short wait; one that would
- * miss its deadline is refused on arrival, or as soon as later arrivals of higher rank make it so.
+ * makes every call late then. Here short calls go first, as other calls wait for them; then those
+ * that can still meet their objective, by priority, then by the smaller share that their route was
+ * served of, then by the earlier objective. One that can't meet it is let in only for a short wait;
+ * one that would miss its deadline is refused on arrival, or as soon as later arrivals that go
+ * before it make it so.
  * An upstream that never answers what it can't queue is never sent more than its slots, but for
  * calls that are long overdue, whose answers are likely lost.
  */
@@ -78,6 +92,8 @@
 
   private readonly times = new ServiceTimes();
 
+  private readonly shares = new ServedShares();
+
   private readonly active = new Set<Running>();
 
   private queue: Waiting[] = [];
@@ -145,7 +161,10 @@
     }
     const durationMs = this.expectedMs(request);
     const refusal = this.refusal(request, durationMs);
-    if (refusal) return Promise.reject(this.notRun(refusal));
+    if (refusal) {
+      this.shares.note(request.route, false);
+      return Promise.reject(this.notRun(refusal));
+    }
     return this.wait(request, durationMs, signal);
   }
 
@@ -177,6 +196,7 @@
         },
         refuse: (reason) => {
           settle();
+          this.shares.note(request.route, false);
           reject(this.notRun(reason));
         },
       };
@@ -195,6 +215,7 @@
       expectedMs > 0 ? Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs) : Infinity;
     const running: Running = { startedAt, overdueAt: startedAt + overdueMs };
     this.active.add(running);
+    this.shares.note(request.route, true);
     return () => {
       if (!this.active.delete(running)) return;
       const endedAt = this.clock.now();
@@ -216,29 +237,39 @@
 
   private first(): Waiting {
     const now = this.clock.now();
-    return this.queue.reduce((best, entry) =>
-      Admission.goesBefore(entry, best, now) ? entry : best,
-    );
+    return this.queue.reduce((best, entry) => (this.goesBefore(entry, best, now) ? entry : best));
   }
 
-  private static goesBefore(a: Waiting, b: Waiting, now: number): boolean {
+  private goesBefore(a: Candidate, b: Candidate, now: number): boolean {
+    const shortness = Number(this.isShort(a)) - Number(this.isShort(b));
+    if (shortness !== 0) return shortness > 0;
     const aInTime = Admission.isInTime(a, now);
     const bInTime = Admission.isInTime(b, now);
     if (aInTime !== bInTime) return aInTime;
     if (a.request.priority !== b.request.priority) return a.request.priority < b.request.priority;
+    const shares = this.shareStep(a) - this.shareStep(b);
+    if (shares !== 0) return shares < 0;
     return a.request.objective < b.request.objective;
   }
 
+  private isShort({ durationMs }: Candidate): boolean {
+    return durationMs <= SHORT_PART * this.times.mean;
+  }
+
+  private shareStep({ request }: Candidate): number {
+    return Math.floor(this.shares.of(request.route) / SHARE_STEP);
+  }
+
   private refusal(request: AdmissionRequest, durationMs: number): string | undefined {
     const now = this.clock.now();
-    const probe = { request, durationMs } as Waiting;
-    const ahead = this.queue.filter((entry) => !Admission.goesBefore(probe, entry, now));
+    const probe: Candidate = { request, durationMs };
+    const ahead = this.queue.filter((entry) => !this.goesBefore(probe, entry, now));
     if (this.queue.length >= this.limits.queue) {
       if (ahead.length === this.queue.length) return 'the queue is full';
     }
     const waitMs = this.waitFor(ahead);
     if (now + waitMs + durationMs > request.deadline) return 'the wait would pass the deadline';
-    const isLate = !Admission.isInTime(probe, now + waitMs);
+    const isLate = !this.isShort(probe) && !Admission.isInTime(probe, now + waitMs);
     if (isLate && waitMs > MAX_LATE_WAIT_MS) return 'the wait would pass the objective by far';
     return undefined;
   }
@@ -251,6 +282,7 @@
   private patience(request: AdmissionRequest, durationMs: number): number {
     const now = this.clock.now();
     const latestStart = request.deadline - durationMs;
+    if (this.isShort({ request, durationMs })) return latestStart;
     if (Admission.isInTime({ request, durationMs }, now)) {
       const lastInTime = request.objective - IN_TIME_FACTOR * durationMs;
       return Math.min(latestStart, lastInTime + OVERTAKEN_PATIENCE_MS);
@@ -273,7 +305,7 @@
     const now = this.clock.now();
     while (this.queue.length > this.limits.queue) {
       const last = this.queue.reduce((worst, entry) =>
-        Admission.goesBefore(entry, worst, now) ? worst : entry,
+        this.goesBefore(entry, worst, now) ? worst : entry,
       );
       this.drop(last);
       last.refuse('calls of a higher rank took its place');
@@ -304,10 +336,7 @@
     return new NotRunError(reason, { retryAfterMs: this.slotLoad.waitMs });
   }
 
-  private static isInTime(
-    { request, durationMs }: Pick<Waiting, 'request' | 'durationMs'>,
-    start: number,
-  ): boolean {
+  private static isInTime({ request, durationMs }: Candidate, start: number): boolean {
     return start + IN_TIME_FACTOR * durationMs <= request.objective;
   }
 
