Probe a connection that ends an answer without a length, tell unready callers to wait longer

A reset that arrives in the same poll as the last data is reported by libuv as a regular end (it reads once, then takes POLLHUP for EOF), so no error event tells it from a whole answer. After such an end one empty line is written: a reset connection refuses it, one that was ended in order takes it.

Cause: after a power cut every daemon refuses for 0.9 s to 1.6 s more (no configuration, no upstream known); callers came again after 0.3 to 0.6 s and had used their two repeats by then.

--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -39,6 +39,7 @@
 import PeerCallHandler from '../request/PeerCallHandler';
 import PeerLiveness from '../request/PeerLiveness';
 import PeerTransport from '../request/PeerTransport';
+import RetryAdvice from '../request/RetryAdvice';
 import RoutingTransport from '../request/RoutingTransport';
 import { mergeFolder } from '../version/mergeFolder';
 import VersionStore from '../version/VersionStore';
@@ -321,7 +322,7 @@
     balancer,
     transport,
     clock,
-    random,
+    advice: new RetryAdvice(random),
     names,
     logger: logger('call'),
     daemon: own.name,
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Logger, Random, RequestId, ServiceName } from '../common/Types';
+import type { Logger, RequestId, ServiceName } from '../common/Types';
 import type { CurrentVersion, Route } from '../version/Types';
 import Call, { type CallServices, type CallTerms } from './Call';
 import { ATTEMPTS_HEADER, positiveHeader } from './callHeaders';
@@ -11,6 +11,7 @@
 import readRequest from './readRequest';
 import { refuseCall, relayAnswer, type Refusal } from './relayAnswer';
 import RequestError from './RequestError';
+import type RetryAdvice from './RetryAdvice';
 import RetryBudget, { type RetryAllowance } from './RetryBudget';
 import settleCloses from './settleCloses';
 import SplitDealers from './SplitDealers';
@@ -27,8 +28,6 @@
 
 const MAX_DEPTH_ATTEMPTS = 1_000;
 const DEADLINE_PASSED = Symbol('the deadline passed');
-/** When to come again where nothing tells when there will be room, in milliseconds. */
-const RETRY_UNKNOWN_MS = 300;
 
 /** Bounds on callers' requests. */
 export interface CallLimits {
@@ -52,7 +51,7 @@
   readonly names: HeaderNames;
   readonly limits: CallLimits;
   readonly allowance: RetryAllowance;
-  readonly random: Random;
+  readonly advice: RetryAdvice;
   readonly logger: Logger;
   readonly report: (report: CallReport) => void;
   readonly guard: OverloadGuard;
@@ -186,7 +185,9 @@
   ): Promise<void> {
     const { limits, names, versions, isCurrent } = this.services;
     if (versions.snapshot && !isCurrent()) {
-      throw new NotRunError('it is not known yet whether the configuration here is current');
+      throw new NotRunError('it is not known yet whether the configuration here is current', {
+        unready: true,
+      });
     }
     if (this.open > limits.maxOpenCalls) throw new NotRunError('too many calls are open here');
     const request = await readRequest(message, limits.maxBodyBytes(), names);
@@ -194,7 +195,7 @@
     const resolution = this.resolve(request.method, message.headers.host!, request.path);
     if (resolution.kind === 'refused') {
       const { refusal } = resolution;
-      if (refusal.status === 503) throw new NotRunError(refusal.reason);
+      if (refusal.status === 503) throw new NotRunError(refusal.reason, { unready: true });
       Object.assign(record, { outcome: refusal.outcome, reason: refusal.reason });
       refuseCall(refusal, response);
       return;
@@ -218,7 +219,7 @@
     const attempts = positiveHeader(message.headers, ATTEMPTS_HEADER, 0);
     const shortestMs = versions.snapshot?.shortestObjectiveMs ?? 0;
     if (guard.refuses(terms.route.objectiveMs, shortestMs)) {
-      throw new NotRunError('this daemon has no processor time for the call');
+      throw new NotRunError('this daemon has no processor time for the call', { unready: true });
     }
     if (attempts > MAX_DEPTH_ATTEMPTS) throw new NotRunError('the call made too many attempts');
     const deadline = arrivedAt + allowedMs;
@@ -304,17 +305,14 @@
     const reason = error.message;
     if (error instanceof RequestError) return { status: error.status, outcome: 'not-run', reason };
     if (error instanceof NotRunError) {
-      const retryAfterMs = this.retryAfterMs(error.details.retryAfterMs);
+      const { advice } = this.services;
+      const retryAfterMs = error.details.unready
+        ? advice.whenUnready()
+        : advice.whenFull(error.details.retryAfterMs);
       return { status: 503, outcome: 'not-run', reason, retryAfterMs };
     }
     if (error instanceof DeadlineError) return { status: 504, outcome: 'unknown', reason };
     if (error instanceof UnknownOutcomeError) return { status: 502, outcome: 'unknown', reason };
     return { status: 500, outcome: 'unknown', reason };
   }
-
-  /** Spreads those refused together over the time in which there will be room. */
-  private retryAfterMs(roomMs: number | undefined): number {
-    const base = roomMs ?? RETRY_UNKNOWN_MS;
-    return base + this.services.random.below(1 + Math.round(base));
-  }
 }
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -177,7 +177,7 @@
     try {
       answer = await exchange({
         dispatcher: connections.pool,
-        isResetting: () => connections.isResetting,
+        endedInOrder: () => connections.endedInOrder(),
         origin: this.origin,
         request,
         headers: upstreamHeaders(request, context, this.instance, names, began),
--- a/src/request/NotRunError.ts
+++ b/src/request/NotRunError.ts
@@ -9,6 +9,8 @@
   readonly retryAfterMs?: number;
   /** The upstream itself received the attempt and turned it away. */
   readonly reachedUpstream?: boolean;
+  /** This daemon itself can't carry the call yet, or can't just now. */
+  readonly unready?: boolean;
 }
 
 /** It is proved that the upstream didn't run the attempt, and that it never will. */
--- a/src/request/UpstreamConnections.test.ts
+++ b/src/request/UpstreamConnections.test.ts
@@ -11,11 +11,14 @@
 const TIMEOUT_MS = 5_000;
 
 /** Asks an upstream that answers the bytes and then ends the connection as told. */
-async function ask(head: string, end: (socket: Socket) => void): Promise<string> {
+async function ask(head: string, end: (socket: Socket) => void, delayMs = 20): Promise<string> {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
     socket.once('data', () => {
-      socket.write(head + BODY, () => setTimeout(() => end(socket), 20));
+      socket.write(head + BODY, () => {
+        if (delayMs === 0) end(socket);
+        else setTimeout(() => end(socket), delayMs);
+      });
     });
   });
   await new Promise<void>((resolve) => {
@@ -33,7 +36,7 @@
       headTimeoutMs: TIMEOUT_MS,
       bodyTimeoutMs: TIMEOUT_MS,
       signal: new CancelSource(),
-      isResetting: () => connections.isResetting,
+      endedInOrder: () => connections.endedInOrder(),
     });
     let bytes = 0;
     const write = (chunk: Buffer) => {
@@ -56,6 +59,8 @@
   const rows = [
     `unframed, ended: ${await ask(UNFRAMED, (socket) => socket.end())}`,
     `unframed, reset: ${await ask(UNFRAMED, (socket) => socket.resetAndDestroy())}`,
+    `unframed, ended at once: ${await ask(UNFRAMED, (socket) => socket.end(), 0)}`,
+    `unframed, reset at once: ${await ask(UNFRAMED, (socket) => socket.resetAndDestroy(), 0)}`,
     `framed, ended: ${await ask(framed, (socket) => socket.end())}`,
     `framed, reset: ${await ask(framed, (socket) => socket.resetAndDestroy())}`,
   ];
@@ -63,6 +68,8 @@
     rows.join('\n'),
     `unframed, ended: whole 10000
 unframed, reset: broken 10000
+unframed, ended at once: whole 10000
+unframed, reset at once: broken 10000
 framed, ended: broken 10000
 framed, reset: broken 10000`,
   );
--- a/src/request/UpstreamConnections.ts
+++ b/src/request/UpstreamConnections.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { buildConnector, Pool } from 'undici';
 import type { Address } from '../common/Types';
 
@@ -11,11 +12,16 @@
   readonly keepAliveMs: number;
 }
 
+/** An empty line; servers skip it before a request. */
+const PROBE = '\r\n';
+
 /**
  * The kept connections to one upstream.
  *
- * The HTTP client takes a reset for the regular end of an answer that ends with its connection. This
- * knows of a reset before the client does, so that such an answer can be told from a whole one.
+ * The HTTP client takes a reset for the regular end of an answer that ends with its connection. And
+ * the event loop reports a reset that comes right behind data as a regular end. This hears of both
+ * before the client does, so that such an answer can be told from a whole one: a connection that was
+ * reset takes no more writes, one that was ended in order does.
  */
 export default class UpstreamConnections {
   /** Sends requests over them. */
@@ -23,28 +29,42 @@
 
   private resetting = false;
 
+  private ending: Socket | undefined;
+
   /**
    * @param address - Of the upstream.
    * @param options - Their bounds.
    */
   public constructor(address: Address, options: UpstreamConnectionsOptions) {
-    const connect = buildConnector({ timeout: options.connectMs });
+    const connect = buildConnector({ timeout: options.connectMs, allowHalfOpen: true });
     this.pool = new Pool(`http://${address}`, {
       connections: options.connections,
       pipelining: 1,
       keepAliveTimeout: options.keepAliveMs,
       connect: (target, callback) =>
         connect(target, (...result) => {
-          // The client adds its own listener after this one; both run within one emit.
-          result[1]?.on('error', () => this.noteReset());
+          const socket = result[1];
+          // The client adds its own listeners after these; both run within one emit.
+          socket?.on('error', () => this.noteReset());
+          socket?.on('end', () => this.noteEnd(socket));
           callback(...result);
         }),
     });
   }
 
-  /** Whether a connection is being reset just now, in the same turn of the event loop. */
-  public get isResetting(): boolean {
-    return this.resetting;
+  /**
+   * Called where the client says that an answer is complete, in the same turn of the event loop.
+   *
+   * @returns Whether the connection that ended with it was ended in order; at once, or as soon as the
+   * connection shows it.
+   */
+  public endedInOrder(): boolean | Promise<boolean> {
+    if (this.resetting) return false;
+    const { ending } = this;
+    if (!ending) return true;
+    return new Promise((resolve) => {
+      ending.write(PROBE, (error) => resolve(!error));
+    });
   }
 
   /** Closes them once what runs on them has ended. */
@@ -63,4 +83,11 @@
       this.resetting = false;
     });
   }
+
+  private noteEnd(socket: Socket): void {
+    this.ending = socket;
+    process.nextTick(() => {
+      this.ending = undefined;
+    });
+  }
 }
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -16,8 +16,8 @@
   /** Longest pause within the answer's body, in milliseconds. */
   readonly bodyTimeoutMs: number;
   readonly signal: CancelSignal;
-  /** Whether a connection of the dispatcher is being reset just now. */
-  readonly isResetting: () => boolean;
+  /** Whether the connection that ends with an answer just now was ended in order. */
+  readonly endedInOrder: () => boolean | Promise<boolean>;
 }
 
 /** Receives what the HTTP client reports of one request. */
@@ -39,7 +39,7 @@
 
   public constructor(
     private readonly signal: CancelSignal,
-    private readonly isResetting: () => boolean,
+    private readonly endedInOrder: Exchange['endedInOrder'],
     private readonly resolve: (answer: StreamedAnswer) => void,
     private readonly reject: (error: ExchangeError) => void,
   ) {
@@ -71,9 +71,17 @@
   }
 
   public onResponseEnd(): void {
-    // The client ends a body without a length also where its connection is reset.
-    if (this.isResetting()) this.answer?.fail('the connection was reset');
-    else this.answer?.complete();
+    const { answer } = this;
+    if (!answer) return;
+    // Only a body without a length ends with its connection.
+    const { 'content-length': length, 'transfer-encoding': coding } = answer.headers;
+    if (length !== undefined || coding !== undefined) answer.complete();
+    else void this.endUnframed(answer);
+  }
+
+  private async endUnframed(answer: StreamedAnswer): Promise<void> {
+    if (await this.endedInOrder()) answer.complete();
+    else answer.fail('the connection was reset');
   }
 
   public onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -96,7 +104,7 @@
 export default function exchange(options: Exchange): Promise<StreamedAnswer> {
   const { dispatcher, request, signal } = options;
   return new Promise((resolve, reject) => {
-    const handler = new ExchangeHandler(signal, options.isResetting, resolve, reject);
+    const handler = new ExchangeHandler(signal, options.endedInOrder, resolve, reject);
     dispatcher.dispatch(
       {
         origin: options.origin,
