Write frames at the end of each callback, lend a stopping daemon's upstream, log a held up event loop

Frames of a channel were corked until the check phase, so on a busy daemon a call waited for the end of a turn of 0.55 s, with the time left that it had at its start, and its cancel came one turn later.

--- a/src/process/Daemon.ts
+++ b/src/process/Daemon.ts
@@ -12,6 +12,11 @@
 
 /** Part of the time for a stop after which calls that still run are left behind. */
 const DRAIN_PART = 0.8;
+/**
+ * Part of the time that callers have to leave in which the upstream still takes calls; in the rest of
+ * it most of what it runs ends.
+ */
+const LENT_PART = 0.5;
 /** Time for the last news of this daemon to leave, in milliseconds. */
 const FAREWELL_MS = 100;
 
@@ -84,7 +89,9 @@
 
   /**
    * Tells peers and callers, finishes what is under way, then releases everything. Callers are
-   * served until they had time to go elsewhere; every answer from now on ends its connection.
+   * served until they had time to go elsewhere; every answer from now on ends its connection. The
+   * upstream takes calls for the first part of that time: daemons that are restarted in turn would
+   * else take more of a service's upstreams out at once than need be.
    */
   public async stop(): Promise<void> {
     const { registration, readiness, calls, callListener, members, logger, clock } = this.parts;
@@ -93,8 +100,9 @@
     logger.log('Stops.', { openCalls: calls.openCalls });
     readiness.stop();
     calls.closeConnections();
+    await sleep(LENT_PART * leaveMs);
     const drained = registration.drain();
-    await sleep(leaveMs);
+    await sleep((1 - LENT_PART) * leaveMs);
     callListener.stopAccepting();
     const late = new AbortController();
     const finished = Promise.all([drained, calls.whenIdle()]);
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -82,7 +82,7 @@
     random: new SeededRandom(),
     meter: new SocketMeter(),
     log,
-    lag: resources.add(new LoopLag(clock)),
+    lag: resources.add(new LoopLag(clock, log.logger('daemon'))),
     logger: (part: string) => log.logger(part),
     names: settings.log.kind === 'platform' ? PLATFORM_HEADERS : OWN_HEADER_NAMES,
   };
--- a/src/request/SocketBatch.ts
+++ b/src/request/SocketBatch.ts
@@ -1,6 +1,9 @@
 import type { Socket } from 'node:net';
 
-/** Gathers what is written to a socket within one turn of the event loop into one system call. */
+/**
+ * Gathers what one callback writes to a socket into one system call. Not what a whole turn of the
+ * event loop writes: under load a turn takes half a second, and a call would wait for its end.
+ */
 export default class SocketBatch {
   private open = false;
 
@@ -12,7 +15,7 @@
     if (this.open) return;
     this.open = true;
     this.socket.cork();
-    setImmediate(() => {
+    process.nextTick(() => {
       this.open = false;
       this.socket.uncork();
     });
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -1,3 +1,4 @@
+import { cpSync } from 'node:fs';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import Fleet, { eventually } from '../stand-in/Fleet';
@@ -28,4 +29,36 @@
   }
 });
 
+test('a daemon that stops lends its upstream while callers leave', async () => {
+  const fleet = new Fleet();
+  try {
+    await fleet.startLog();
+    const [near] = await startDaemons(fleet, ['coq']);
+    const far = await fleet.startDaemon({
+      name: 'far',
+      zone: 'coq',
+      extra: { daemon: 'leave = "60s"\ndrain = "90s"' },
+    });
+    await fleet.startUpstream('stock', far);
+    const folder = fleet.path('folder');
+    cpSync('examples/association', folder, { recursive: true });
+    await fleet.command(['publish', folder, '--log', fleet.log]);
+    const url = `http://${near!.ready.listening.calls}/stock/x`;
+    await eventually('it is served', async () => (await fetch(url)).status === 200);
+    far.child.kill('SIGTERM');
+    await eventually('it stops', async () => {
+      const answer = await fetch(`http://${far.ready.listening.calls}/stock/x`);
+      return answer.headers.get('connection') === 'close';
+    });
+    const statuses: number[] = [];
+    for (let call = 0; call < 20; call += 1) statuses.push((await fetch(url)).status);
+    assert.equal(new Set(statuses), new Set([200]));
+    // A second signal ends it at once.
+    far.child.kill('SIGTERM');
+    await eventually('it has ended', () => far.child.exitCode !== null);
+  } finally {
+    await fleet.dispose();
+  }
+});
+
 test.run();
