--- a/src/process/servePeers.ts
+++ b/src/process/servePeers.ts
@@ -9,12 +9,11 @@
 import PEER_PATH, { ALIVE_PATH } from '../connection/peerPath';
 import type { PeerRouter } from '../connection/peerRouter';
 import type SocketMeter from '../connection/SocketMeter';
+import { MAX_FRAME_BYTES } from '../request/channelFrames';
 import { CHANNEL_PATH, channelOpener } from '../request/channelUrl';
 import type Listener from './Listener';
 
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
-/** Largest frame of a call: the largest body that settings allow, and headers. */
-const MAX_CALL_BYTES = 257 * 1024 * 1024;
 
 /** Takes the calls that a daemon makes over a connection that it opened. */
 export type ChannelAcceptor = (socket: WebSocket, raw: Socket, daemon: DaemonId) => void;
@@ -55,7 +54,7 @@
   });
   const options = { noServer: true, perMessageDeflate: false };
   const peers = new WebSocketServer({ ...options, maxPayload: MAX_MESSAGE_BYTES });
-  const channels = new WebSocketServer({ ...options, maxPayload: MAX_CALL_BYTES });
+  const channels = new WebSocketServer({ ...options, maxPayload: MAX_FRAME_BYTES });
   listener.server.on('upgrade', (request: IncomingMessage, duplex: Duplex, head: Buffer) => {
     const url = request.url ?? '';
     const opener = url.startsWith(`${CHANNEL_PATH}?`) ? channelOpener(url) : undefined;
--- a/src/request/CallChannel.ts
+++ b/src/request/CallChannel.ts
@@ -5,6 +5,7 @@
 import {
   decodeReplyFrame,
   encodeFrame,
+  MAX_FRAME_BYTES,
   type AnswerFrame,
   type CallFrame,
   type ChannelCallNumber,
@@ -18,8 +19,6 @@
 import StreamedAnswer from './StreamedAnswer';
 import type { CancelSignal } from './Types';
 
-/** Largest frame that is taken in: the largest body that settings allow, and headers. */
-const MAX_FRAME_BYTES = 257 * 1024 * 1024;
 /** Unsent bytes above which a channel takes no further call; its peer doesn't read. */
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 
--- a/src/request/PeerCallHandler.ts
+++ b/src/request/PeerCallHandler.ts
@@ -34,8 +34,7 @@
     const { names, lagMs } = this.services;
     const { upstream } = this.accept(frame);
     await settleCloses(lagMs());
-    const { method, path, body } = frame;
-    const headers = [...frame.headers];
+    const { method, path, headers, body } = frame;
     const requestId = requestIdOf(headers, names);
     return upstream.run({ method, path, requestId, headers, body }, frame.context, cancel);
   }
--- a/src/request/channelFrames.ts
+++ b/src/request/channelFrames.ts
@@ -17,6 +17,9 @@
 import FrameError from './FrameError';
 import type { AttemptContext, Outcome, UpstreamLoad } from './Types';
 
+/** Largest frame that is taken in: the largest body that settings allow, and headers. */
+export const MAX_FRAME_BYTES = 257 * 1024 * 1024;
+
 /** Number of a call on its channel. */
 export type ChannelCallNumber = Branded<number, 'ChannelCallNumber'>;
 
