Tell a request's story from daemons' logs: azurestream trace

Reads logs on standard input and prints the request's lines, its attempts' and what the daemons that it went through found out from two seconds before.

--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -12,6 +12,7 @@
 import { check, merge } from './folderCommands';
 import { publish } from './publish';
 import run from './run';
+import trace from './trace';
 import { EXIT, type Command, type ExitCode, type Flags, type Output } from './Types';
 
 declare const AZURESTREAM_VERSION: string;
@@ -26,6 +27,7 @@
   status,
   dump,
   explain,
+  trace,
 ];
 
 const FLAG_HELP = `
--- a/test/commands.test.ts
+++ b/test/commands.test.ts
@@ -45,7 +45,7 @@
     await run('run', '--settings', settings);
     assert.snapshot(
       lines.join('\n'),
-      `launch 2: azurestream: found command "launch", expected one of run, check, merge, diff, pull, publish, status, dump, explain
+      `launch 2: azurestream: found command "launch", expected one of run, check, merge, diff, pull, publish, status, dump, explain, trace
 check 2: azurestream check: found 0 arguments, expected FOLDER
 check 1: azurestream check: TMP/missing: found no folder that can be read (ENOENT), expected a folder
 check 1: azurestream check: 10.toml:2: route.a.service: found "x", expected a service that some file declares
