--- a/src/command/RequestStory.ts
+++ b/src/command/RequestStory.ts
@@ -81,10 +81,7 @@
   public add(text: string): void {
     const line = parseLine(text);
     if (!line) return;
-    const { request, attempt } = line.fields;
-    if (request === this.requestId) this.own.push(line);
-    else if (request === undefined)
-      (attempt === undefined ? this.others : this.attempts).push(line);
+    this.linesLike(line)?.push(line);
   }
 
   /** @returns The lines in the order of their time; none where no line names the request. */
@@ -107,6 +104,13 @@
     ].sort((a, b) => a.time.localeCompare(b.time));
   }
 
+  /** Where a line belongs; nowhere if it is of another request. */
+  private linesLike({ fields: { request, attempt } }: LogLine): LogLine[] | undefined {
+    if (request === this.requestId) return this.own;
+    if (request !== undefined) return undefined;
+    return attempt === undefined ? this.others : this.attempts;
+  }
+
   private static storyLine({ daemon, message, fields }: LogLine, isOwn: boolean): StoryLine {
     const told = Object.entries(fields).filter(([name]) => !COMMON_FIELDS.has(name));
     return { time: String(fields.time), daemon, isOwn, message, fields: Object.fromEntries(told) };
