Count what is read in a long turn as waiting since the turn before

A request that comes early in a turn of 0.5 s is read late in the next one, after 0.9 s; the lag of the loop's timer told 0.45 s of that, so its deadline seemed to lie ahead. The time since the last but one tick bounds the wait; the test shows 950 ms in place of 450.

--- a/src/process/LoopLag.ts
+++ b/src/process/LoopLag.ts
@@ -2,6 +2,8 @@
 
 /** How often the lag is measured, in milliseconds. */
 const TICK_MS = 50;
+/** Time since the last but one tick up to which ticks count as in time, in milliseconds. */
+const IN_TIME_MS = 2.4 * TICK_MS;
 /** Part of the former lag that stays after a tick: about four ticks count. */
 const KEPT_PART = 0.7;
 /** Lag in milliseconds from which a line is logged: most calls are turned away from here on. */
@@ -15,6 +17,11 @@
 
   private expectedAt: number;
 
+  /** When the last two ticks ran. */
+  private lastTickAt: number;
+
+  private tickBeforeAt: number;
+
   /**
    * @param clock - Source of time.
    * @param logger - Log of this part.
@@ -23,7 +30,9 @@
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {
-    this.expectedAt = clock.now() + TICK_MS;
+    this.lastTickAt = clock.now();
+    this.tickBeforeAt = this.lastTickAt;
+    this.expectedAt = this.lastTickAt + TICK_MS;
     this.timer = setInterval(() => this.tick(), TICK_MS).unref();
   }
 
@@ -32,11 +41,22 @@
     return Math.max(this.smoothedMs, this.clock.now() - this.expectedAt);
   }
 
+  /**
+   * Longest time that what is read now may have waited, in milliseconds. It came after the turn of the
+   * event loop before this one had begun to read, so a long turn and the part of the next one up to
+   * now add up.
+   */
+  public get waitedMs(): number {
+    const sinceMs = this.clock.now() - this.tickBeforeAt;
+    return sinceMs > IN_TIME_MS ? sinceMs : 0;
+  }
+
   public dispose(): void {
     clearInterval(this.timer);
   }
 
-  private tick(): void {
+  /** Called by the timer, at the start of turns; by tests in its place. */
+  public tick(): void {
     const now = this.clock.now();
     const lagMs = Math.max(0, now - this.expectedAt);
     if (lagMs > LOGGED_MS) {
@@ -44,5 +64,7 @@
     }
     this.smoothedMs = Math.max(lagMs, KEPT_PART * this.smoothedMs + (1 - KEPT_PART) * lagMs);
     this.expectedAt = now + TICK_MS;
+    this.tickBeforeAt = this.lastTickAt;
+    this.lastTickAt = now;
   }
 }
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -339,6 +339,7 @@
       maxShare: () => retries().ratio ?? 1,
     },
     lagMs: () => lag.currentMs,
+    waitedMs: () => lag.waitedMs,
     onAttempt: metrics.onAttempt,
     report: metrics.onCall,
     guard: new OverloadGuard(() => lag.currentMs, random),
@@ -413,13 +414,13 @@
     fence: (attempt, giveUp) => attempts.fence(attempt, giveUp),
     reach: (id, address) => asker.reach(id, address),
   });
-  const lagMs = () => core.lag.currentMs;
+  const waitedMs = () => core.lag.waitedMs;
   const peerCalls = new PeerCallHandler({
     local: () => registration.local,
     incarnation: () => members.self.incarnation,
     names,
     clock,
-    lagMs,
+    waitedMs,
     logger: logger('upstream'),
   });
   resources.add(
@@ -428,7 +429,7 @@
       router,
       (socket, raw, daemon) => {
         // The session lives as long as its socket.
-        void new ChannelSession(socket, raw, daemon, peerCalls, names, clock, lagMs);
+        void new ChannelSession(socket, raw, daemon, peerCalls, names, clock, waitedMs);
       },
       meter,
     ),
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -55,6 +55,8 @@
   readonly logger: Logger;
   readonly report: (report: CallReport) => void;
   readonly guard: OverloadGuard;
+  /** How long a request that is read now may have waited, in milliseconds. */
+  readonly waitedMs: () => number;
   /** Whether the configuration in force is known to be no older than that of other daemons. */
   readonly isCurrent: () => boolean;
 }
@@ -202,10 +204,9 @@
     terms: CallTerms,
     record: CallRecord,
   ): Promise<void> {
-    const { clock, names, guard, versions, lagMs } = this.services;
-    // The request may have waited as long as this daemon lags before it was read.
-    const arrivedAt = clock.now() - lagMs();
-    await settleCloses(lagMs());
+    const { clock, names, guard, versions, waitedMs } = this.services;
+    const arrivedAt = clock.now() - waitedMs();
+    await settleCloses(waitedMs());
     const askedMs = positiveHeader(message.headers, names.deadlineMs, Infinity);
     const allowedMs = Math.min(askedMs, terms.route.timeoutMs);
     const attempts = positiveHeader(message.headers, ATTEMPTS_HEADER, 0);
--- a/src/request/ChannelSession.ts
+++ b/src/request/ChannelSession.ts
@@ -35,7 +35,7 @@
    * @param handler - Runs the calls.
    * @param names - Names of the upstreams' headers.
    * @param clock - Source of time.
-   * @param lagMs - Lag of the event loop, in milliseconds: how long a frame may have waited.
+   * @param waitedMs - How long a frame that is read now may have waited, in milliseconds.
    */
   public constructor(
     private readonly socket: WebSocket,
@@ -44,7 +44,7 @@
     private readonly handler: ChannelCalls,
     private readonly names: HeaderNames,
     private readonly clock: Clock,
-    private readonly lagMs: () => number,
+    private readonly waitedMs: () => number,
   ) {
     this.batch = new SocketBatch(raw);
     socket.on('message', (data: Buffer) => this.receive(data));
@@ -56,7 +56,7 @@
   private receive(data: Buffer): void {
     let frame: RequestFrame;
     try {
-      frame = decodeRequestFrame(data, this.daemon, this.clock.now() - this.lagMs());
+      frame = decodeRequestFrame(data, this.daemon, this.clock.now() - this.waitedMs());
     } catch (error) {
       this.handler.noteBadFrame(this.daemon, error as Error);
       this.socket.terminate();
--- a/src/request/PeerCallHandler.ts
+++ b/src/request/PeerCallHandler.ts
@@ -19,8 +19,8 @@
   /** Of this daemon. */
   readonly incarnation: () => Incarnation;
   readonly names: HeaderNames;
-  /** Lag of the event loop, in milliseconds: how long a frame may have waited to be read. */
-  readonly lagMs: () => number;
+  /** How long a frame that is read now may have waited, in milliseconds. */
+  readonly waitedMs: () => number;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -31,9 +31,9 @@
   public constructor(private readonly services: PeerCallServices) {}
 
   public async run(frame: CallFrame, cancel: CancelSignal): Promise<Answer> {
-    const { names, lagMs } = this.services;
+    const { names, waitedMs } = this.services;
     const { upstream } = this.accept(frame);
-    await settleCloses(lagMs());
+    await settleCloses(waitedMs());
     const { method, path, headers, body } = frame;
     const requestId = requestIdOf(headers, names);
     return upstream.run({ method, path, requestId, headers, body }, frame.context, cancel);
--- a/src/request/settleCloses.ts
+++ b/src/request/settleCloses.ts
@@ -1,6 +1,6 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
-/** Lag of the event loop, in milliseconds, from which a sender may have left meanwhile. */
+/** Wait, in milliseconds, in which a sender may have left. */
 const LATE_MS = 50;
 /** Turns of the event loop after which a close that came in behind a request has been seen. */
 const TURNS = 4;
@@ -9,9 +9,9 @@
  * Lets the closes of connections be seen before the requests that came in ahead of them are worked
  * on, where this daemon is so late that both wait to be read.
  *
- * @param lagMs - Lag of the event loop, in milliseconds.
+ * @param waitedMs - How long the request may have waited, in milliseconds.
  */
-export default async function settleCloses(lagMs: number): Promise<void> {
-  if (lagMs < LATE_MS) return;
+export default async function settleCloses(waitedMs: number): Promise<void> {
+  if (waitedMs < LATE_MS) return;
   for (let turn = 0; turn < TURNS; turn += 1) await nextTurn();
 }
