Keep the channel, and ask nobody, when a call is given up

Cause, found by reading: a call that was superseded or ran out of time failed with an aborted exchange, after which PeerTransport left its channel, so that the next call opened another one, and for calls that may run once asked on yet another connection what became of them. Nobody waits for the outcome of a call that was given up; the other daemon gets its cancel frame.

--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -1,8 +1,6 @@
 import type { Clock } from '../common/Types';
-import type CallChannel from './CallChannel';
 import type { ChannelCall, ChannelReply } from './CallChannel';
 import type CallChannels from './CallChannels';
-import CALLER_LEFT from './callerLeft';
 import ExchangeError from './ExchangeError';
 import NotRunError from './NotRunError';
 import StreamedAnswer from './StreamedAnswer';
@@ -89,7 +87,7 @@
     } catch (error) {
       if (doubt.verdict) throw doubt.verdict;
       if (!(error instanceof ExchangeError)) throw error;
-      throw await this.explain(upstream, context, signal, channel, error);
+      throw await this.explain(upstream, context, error);
     } finally {
       clearTimeout(watch.timer);
       watch.stopped = true;
@@ -110,15 +108,13 @@
   private async explain(
     upstream: Upstream,
     context: AttemptContext,
-    signal: CancelSignal,
-    channel: CallChannel,
     error: ExchangeError,
   ): Promise<Error> {
-    if (signal.reason === CALLER_LEFT) return new UnknownOutcomeError('the caller left');
+    // Nobody waits for what became of a call that was given up, and the other daemon is told.
+    if (error.aborted) return new UnknownOutcomeError('the call was given up');
     if (error.code !== undefined && UNREACHABLE_CODES.has(error.code)) {
       this.liveness.refused(upstream.address);
     }
-    this.channels.leave(upstream.address, channel);
     return this.resolve(upstream, context, error);
   }
 
