--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -245,6 +245,7 @@
   const liveness = resources.add(
     new PeerLiveness(
       async (address) => {
+        // The ping shows on the channel in use what the probe shows on a new connection.
         channels.ping(address);
         const answers = await probeDaemon(address);
         if (answers) channels.closeSilent(address);
