--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -177,6 +177,7 @@
     record: CallRecord,
   ): Promise<void> {
     const { limits, names, versions, isCurrent } = this.services;
+    Object.assign(record, { requestId: message.headers[names.requestId] });
     if (versions.snapshot && !isCurrent()) {
       throw new NotRunError('it is not known yet whether the configuration here is current', {
         unready: true,
@@ -184,17 +185,18 @@
     }
     if (this.open > limits.maxOpenCalls) throw new NotRunError('too many calls are open here');
     const request = await readRequest(message, limits.maxBodyBytes(), names);
-    Object.assign(record, { requestId: request.requestId });
     const route = this.match(request.method, message.headers.host!, request.path);
-    const service = route && this.dealers.next(route);
-    const refusal = route ? this.absence(route, service!) : this.noRoute();
-    if (refusal) {
+    if (!route) {
+      const refusal = this.noRoute();
       if (refusal.status === 503) throw new NotRunError(refusal.reason, { unready: true });
       Object.assign(record, { outcome: refusal.outcome, reason: refusal.reason });
       refuseCall(refusal, response);
       return;
     }
-    await this.carry(message, response, request, this.terms(route!, service!), record);
+    const service = this.dealers.next(route);
+    const absence = this.absence(route, service);
+    if (absence) throw new NotRunError(absence.reason, { unready: true });
+    await this.carry(message, response, request, this.terms(route, service), record);
   }
 
   private async carry(
