Pick random ones in one place, derive what was kept twice

From reading the whole change again: Joiner and Overlay chose random members by the same loop (pickRandom now); LoopLag kept when a tick is due beside when the last one ran; PeerTransport kept a clock that nothing used and a box around its verdict; the question whether a ping is unanswered stood in CallChannels twice, the attempts of a log line in RequestStory twice. No change of behaviour; tests keep their assertions.

--- a/src/command/RequestStory.ts
+++ b/src/command/RequestStory.ts
@@ -48,16 +48,19 @@
   return { atMs, daemon, message, fields: fields as Record<string, unknown> };
 }
 
+/** The attempts that the line of a call tells; none in other lines. */
+function attemptsMade({ attempts }: LogLine['fields']): { number: number; upstream: string }[] {
+  return Array.isArray(attempts) ? attempts : [];
+}
+
 /** Names of the attempts that a line of a call tells, as other daemons' lines name them. */
 function attemptsOf({ daemon, fields }: LogLine): string[] {
   const own = typeof fields.attempt === 'string' ? [fields.attempt] : [];
-  const made = Array.isArray(fields.attempts) ? (fields.attempts as { number: number }[]) : [];
-  return [...own, ...made.map(({ number }) => `${number}.${daemon}`)];
+  return [...own, ...attemptsMade(fields).map(({ number }) => `${number}.${daemon}`)];
 }
 
 function daemonsOf({ daemon, fields }: LogLine): string[] {
-  const made = Array.isArray(fields.attempts) ? (fields.attempts as { upstream: string }[]) : [];
-  return [daemon, ...made.map(({ upstream }) => upstream)];
+  return [daemon, ...attemptsMade(fields).map(({ upstream }) => upstream)];
 }
 
 function beganAt({ atMs, fields }: LogLine): number {
--- a/src/connection/Joiner.ts
+++ b/src/connection/Joiner.ts
@@ -1,4 +1,5 @@
 import { jitteredBackoff, jitteredPeriod, type Backoff } from '../common/backoff';
+import pickRandom from '../common/pickRandom';
 import sleep from '../common/sleep';
 import type { Address, Clock, DaemonId, Disposable, Logger, Random } from '../common/Types';
 import LogError from './LogError';
@@ -116,10 +117,7 @@
   /** Asks some contacts at once, as those that are gone answer nothing for a second each. */
   private contact(contacts: readonly Contact[]): Promise<boolean> {
     const pool = contacts.filter(({ id, address }) => !this.isSelf(id, address));
-    const chosen: Contact[] = [];
-    while (chosen.length < CONTACTS_TRIED && pool.length > 0) {
-      chosen.push(...pool.splice(this.random.below(pool.length), 1));
-    }
+    const chosen = pickRandom(pool, CONTACTS_TRIED, this.random);
     return firstSuccess(chosen.map((contact) => this.introducer.introduce(contact)));
   }
 
--- a/src/connection/Overlay.ts
+++ b/src/connection/Overlay.ts
@@ -1,5 +1,6 @@
 import PQueue from 'p-queue';
 import { jitteredBackoff, jitteredPeriod, type Backoff } from '../common/backoff';
+import pickRandom from '../common/pickRandom';
 import sleep from '../common/sleep';
 import withLinkedSignal from '../common/withLinkedSignal';
 import type { Clock, DaemonId, Disposable, Random } from '../common/Types';
@@ -193,10 +194,6 @@
     const pool = members
       .live()
       .filter(({ id, health }) => health === 'alive' && id !== except && id !== members.self.id);
-    const chosen: MemberRecord[] = [];
-    while (chosen.length < INDIRECT_PROBES && pool.length > 0) {
-      chosen.push(...pool.splice(this.random.below(pool.length), 1));
-    }
-    return chosen;
+    return pickRandom(pool, INDIRECT_PROBES, this.random);
   }
 }
--- a/src/process/LoopLag.ts
+++ b/src/process/LoopLag.ts
@@ -15,8 +15,6 @@
 
   private smoothedMs = 0;
 
-  private expectedAt: number;
-
   /** When the last two ticks ran. */
   private lastTickAt: number;
 
@@ -32,13 +30,12 @@
   ) {
     this.lastTickAt = clock.now();
     this.tickBeforeAt = this.lastTickAt;
-    this.expectedAt = this.lastTickAt + TICK_MS;
     this.timer = setInterval(() => this.tick(), TICK_MS).unref();
   }
 
   /** Lag over the last ticks; a tick that is overdue counts already. */
   public get currentMs(): number {
-    return Math.max(this.smoothedMs, this.clock.now() - this.expectedAt);
+    return Math.max(this.smoothedMs, this.overdueMs(this.clock.now()));
   }
 
   /**
@@ -58,13 +55,17 @@
   /** Called by the timer, at the start of turns; by tests in its place. */
   public tick(): void {
     const now = this.clock.now();
-    const lagMs = Math.max(0, now - this.expectedAt);
+    const lagMs = Math.max(0, this.overdueMs(now));
     if (lagMs > LOGGED_MS) {
       this.logger.log('The event loop was held up.', { lagMs: Math.round(lagMs) });
     }
     this.smoothedMs = Math.max(lagMs, KEPT_PART * this.smoothedMs + (1 - KEPT_PART) * lagMs);
-    this.expectedAt = now + TICK_MS;
     this.tickBeforeAt = this.lastTickAt;
     this.lastTickAt = now;
   }
+
+  /** Time since the next tick was due; negative until then. */
+  private overdueMs(now: number): number {
+    return now - this.lastTickAt - TICK_MS;
+  }
 }
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -265,7 +265,7 @@
   const transport = new RoutingTransport(
     settings.daemon.name,
     () => registration.local?.upstream,
-    new PeerTransport(channels, createFence(asker), liveness, calls.silence, clock),
+    new PeerTransport(channels, createFence(asker), liveness, calls.silence),
   );
   return { attempts, registration, balancer, transport };
 }
--- a/src/request/CallChannel.ts
+++ b/src/request/CallChannel.ts
@@ -75,7 +75,6 @@
 
   private lastNumber = 0;
 
-  /** Monotonic time in ms at which the other daemon last sent anything. */
   private heardAt: number;
 
   private ended = false;
@@ -109,8 +108,7 @@
     return this.heardAt;
   }
 
-  /** Whether the connection is open. */
-  public get isOpen(): boolean {
+  private get isOpen(): boolean {
     return this.socket.readyState === WebSocket.OPEN;
   }
 
--- a/src/request/CallChannels.ts
+++ b/src/request/CallChannels.ts
@@ -64,9 +64,7 @@
   public ping(address: Address): void {
     const entry = this.entries.get(address);
     if (!entry) return;
-    if (entry.pingedAt === undefined || entry.channel.lastHeardAt >= entry.pingedAt) {
-      entry.pingedAt = this.clock.now();
-    }
+    if (!CallChannels.isUnanswered(entry)) entry.pingedAt = this.clock.now();
     entry.channel.ping();
   }
 
@@ -78,7 +76,7 @@
    */
   public closeSilent(address: Address): void {
     const entry = this.entries.get(address);
-    if (entry?.pingedAt === undefined || entry.channel.lastHeardAt >= entry.pingedAt) return;
+    if (!entry || !CallChannels.isUnanswered(entry)) return;
     const silentMs = this.clock.now() - entry.pingedAt;
     if (silentMs < SILENT_MS) return;
     this.logger.log('Closes a silent channel.', {
@@ -104,6 +102,11 @@
     for (const { channel } of entries) channel.dispose();
   }
 
+  /** Whether nothing was heard since the ping that was noted. */
+  private static isUnanswered(entry: Entry): entry is Entry & { pingedAt: number } {
+    return entry.pingedAt !== undefined && entry.channel.lastHeardAt < entry.pingedAt;
+  }
+
   private open(address: Address): CallChannel {
     return new CallChannel(address, {
       own: this.own,
--- a/src/request/PeerTransport.test.ts
+++ b/src/request/PeerTransport.test.ts
@@ -1,6 +1,5 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import ManualClock from '../../stand-in/ManualClock';
 import type CallChannels from './CallChannels';
 import CancelSource from './CancelSource';
 import ExchangeError from './ExchangeError';
@@ -37,8 +36,7 @@
     refused: () => events.push('the daemon is lost'),
     watch: () => ({ dispose: () => undefined }),
   };
-  const clock = new ManualClock();
-  const transport = new PeerTransport(channels, fence, liveness, 60_000, clock);
+  const transport = new PeerTransport(channels, fence, liveness, 60_000);
   const context = { idempotent, deadline: 1_000 } as AttemptContext;
   const answer = transport.send(UPSTREAM, REQUEST, context, cancel);
   if (failure === 'cancelled') cancel.abort('its time has passed');
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -1,4 +1,3 @@
-import type { Clock } from '../common/Types';
 import type { ChannelCall, ChannelReply } from './CallChannel';
 import type CallChannels from './CallChannels';
 import ExchangeError from './ExchangeError';
@@ -42,14 +41,12 @@
    * @param fence - Resolves attempts on connections that failed or fell silent.
    * @param liveness - Watches whether other daemons answer at all.
    * @param silenceMs - How long to wait for an answer's head before asking, in milliseconds.
-   * @param clock - Source of time.
    */
   public constructor(
     private readonly channels: CallChannels,
     private readonly fence: Fence,
     private readonly liveness: Liveness,
     private readonly silenceMs: number,
-    private readonly clock: Clock,
   ) {}
 
   public async send(
@@ -70,9 +67,9 @@
       },
       signal,
     );
-    const doubt: { verdict: Error | undefined } = { verdict: undefined };
+    let verdict: Error | undefined;
     const giveUp = (error: Error) => {
-      doubt.verdict = error;
+      verdict = error;
       this.channels.leave(upstream.address, channel);
       call.abort();
     };
@@ -85,7 +82,7 @@
       this.liveness.heard(upstream.address);
       return PeerTransport.judge(reply);
     } catch (error) {
-      if (doubt.verdict) throw doubt.verdict;
+      if (verdict) throw verdict;
       if (!(error instanceof ExchangeError)) throw error;
       throw await this.explain(upstream, context, error);
     } finally {
--- a/src/request/relayAnswer.ts
+++ b/src/request/relayAnswer.ts
@@ -28,8 +28,8 @@
   response: ServerResponse,
 ): boolean {
   if (response.destroyed) return false;
-  const framed = body.length > 0 && headers['content-length'] === undefined;
-  const length = framed ? { 'content-length': String(body.length) } : {};
+  const lacksLength = body.length > 0 && headers['content-length'] === undefined;
+  const length = lacksLength ? { 'content-length': String(body.length) } : {};
   response.writeHead(status, { ...headers, ...length });
   response.end(body);
   return true;
