Leave a channel that was silent while a call on it was given up

Cause found for the red silent-connections test (502 after 3 s): since a call that is given up keeps its channel, also where the channel had fallen silent and a second attempt elsewhere had just won; the next calls went into the same silence. Only channels on which nothing came for 500 ms since the call was sent are left now, so that busy ones still stay.

--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -265,7 +265,7 @@
   const transport = new RoutingTransport(
     settings.daemon.name,
     () => registration.local?.upstream,
-    new PeerTransport(channels, createFence(asker), liveness, calls.silence),
+    new PeerTransport(channels, createFence(asker), liveness, calls.silence, clock),
   );
   return { attempts, registration, balancer, transport };
 }
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -1,3 +1,5 @@
+import type { Clock } from '../common/Types';
+import type CallChannel from './CallChannel';
 import type { ChannelCall, ChannelReply } from './CallChannel';
 import type CallChannels from './CallChannels';
 import ExchangeError from './ExchangeError';
@@ -15,6 +17,11 @@
 } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
 
+/**
+ * A channel on which nothing came while a call waited this long, in milliseconds, may be silent; a lost
+ * packet holds it up for less.
+ */
+const SUSPECT_MS = 500;
 /** Socket errors of connections that were never opened. */
 const UNREACHABLE_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH']);
 
@@ -41,12 +48,14 @@
    * @param fence - Resolves attempts on connections that failed or fell silent.
    * @param liveness - Watches whether other daemons answer at all.
    * @param silenceMs - How long to wait for an answer's head before asking, in milliseconds.
+   * @param clock - Source of time.
    */
   public constructor(
     private readonly channels: CallChannels,
     private readonly fence: Fence,
     private readonly liveness: Liveness,
     private readonly silenceMs: number,
+    private readonly clock: Clock,
   ) {}
 
   public async send(
@@ -56,6 +65,7 @@
     signal: CancelSignal,
   ): Promise<Answer> {
     const channel = this.channels.get(upstream.address);
+    const sentAt = this.clock.now();
     const call = channel.send(
       {
         target: upstream.incarnation,
@@ -84,6 +94,7 @@
     } catch (error) {
       if (verdict) throw verdict;
       if (!(error instanceof ExchangeError)) throw error;
+      if (error.aborted) this.suspect(upstream, channel, sentAt);
       throw await this.explain(upstream, context, error);
     } finally {
       clearTimeout(watch.timer);
@@ -102,6 +113,12 @@
     else if (idempotent) giveUp(new UnknownOutcomeError('the daemon stopped answering'));
   }
 
+  /** Lets new calls go over another channel where a call was given up on one that may be silent. */
+  private suspect({ address }: Upstream, channel: CallChannel, sentAt: number): void {
+    const isLong = this.clock.now() - sentAt > SUSPECT_MS;
+    if (isLong && channel.lastHeardAt < sentAt) this.channels.leave(address, channel);
+  }
+
   private async explain(
     upstream: Upstream,
     context: AttemptContext,
