Show that a call at a busy daemon is broken off as if that had died

What callers saw: 502 0.7 s after a lookup was sent, long before its deadline, while its attempt waited at a daemon that lives and ran it 1.7 s later (two lookups after a SIGTERM of the daemon that they came to).

The test fails on the present code: with no budget for a repeat the call ends as UnknownOutcomeError, with one it is given up at the busy daemon although that might answer.

--- /dev/null
+++ b/src/request/silentDaemon.test.ts
@@ -0,0 +1,118 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { setTimeout as delay } from 'node:timers/promises';
+import SystemClock from '../common/SystemClock';
+import type { Address } from '../common/Types';
+import Call, { type CallServices, type CallTerms } from './Call';
+import type CallChannels from './CallChannels';
+import CancelSource from './CancelSource';
+import ExchangeError from './ExchangeError';
+import PeerLiveness from './PeerLiveness';
+import PeerTransport from './PeerTransport';
+import type RetryBudget from './RetryBudget';
+import StreamedAnswer from './StreamedAnswer';
+import type { Balancer, CallRequest, Upstream } from './Types';
+
+const SILENCE_MS = 20;
+const REQUEST = { method: 'GET', path: '/', headers: [], body: null } as unknown as CallRequest;
+const TERMS = {
+  route: { name: 'r', idempotent: true, retries: 1, objectiveMs: 60_000, timeoutMs: 60_000 },
+  service: { name: 's', slots: 1 },
+  retryBudget: 0,
+} as unknown as CallTerms;
+const SOURCE = { paused: false, pause: () => {}, resume: () => {}, abort: () => {} };
+
+function upstreamAt(address: string): Upstream {
+  return { daemon: address, address, incarnation: 1 } as unknown as Upstream;
+}
+
+/** Makes a call to a daemon that takes connections but is too busy to answer on them for a while. */
+async function callThroughSilence({ spare, budget }: { spare: boolean; budget: boolean }) {
+  const clock = new SystemClock();
+  const events: string[] = [];
+  const answers = new Map<string, (status: number) => void>();
+  const channels = {
+    get: (address: string) => ({
+      lastHeardAt: 0,
+      send: () => {
+        let fail: (error: Error) => void;
+        return {
+          reply: new Promise((resolve, reject) => {
+            fail = reject;
+            answers.set(address, (status) => {
+              const answer = new StreamedAnswer(status, {}, SOURCE);
+              answer.complete();
+              resolve(answer);
+            });
+          }),
+          isSent: () => true,
+          abort: () => {
+            events.push(`gives up at ${address}`);
+            fail(new ExchangeError('aborted', true, true));
+          },
+        };
+      },
+    }),
+    leave: () => undefined,
+  } as unknown as CallChannels;
+  let silent = true;
+  const liveness = new PeerLiveness(
+    async (address: Address) => !(silent && address === 'busy'),
+    { silenceMs: SILENCE_MS },
+    clock,
+    { log: () => undefined },
+  );
+  const upstreams = [upstreamAt('busy'), ...(spare ? [upstreamAt('spare')] : [])];
+  const balancer = {
+    choose: ({ exclude }: { exclude: ReadonlySet<string> }) =>
+      upstreams.find(({ daemon }) => !exclude.has(daemon)),
+    begin: ({ daemon }: Upstream) => events.push(`sends to ${daemon}`),
+    end: () => undefined,
+    latencyMs: () => undefined,
+    known: () => undefined,
+  } as unknown as Balancer;
+  const services = {
+    balancer,
+    transport: new PeerTransport(channels, async () => undefined, liveness, 60_000, clock),
+    clock,
+    lagMs: () => 0,
+    incarnation: () => 1,
+    nextAttempt: () => 1,
+    onAttempt: () => undefined,
+  } as unknown as CallServices;
+  const allowance = { deposit: () => undefined, withdraw: () => budget };
+  const times = { deadline: clock.now() + 60_000, objective: clock.now() + 60_000 };
+  const call = new Call(REQUEST, TERMS, services, allowance as unknown as RetryBudget, times, 0);
+  let ended = false;
+  const answer = call.run(new CancelSource()).then(
+    ({ status }) => `is answered ${status}`,
+    (error: Error) => `fails: ${error.name}`,
+  );
+  void answer.then(() => {
+    ended = true;
+  });
+  while (!ended && !liveness.isLost('busy' as Address)) await delay(5);
+  // Whatever the loss of sight leads to has happened after some turns.
+  for (let turn = 0; turn < 5; turn += 1) await delay(1);
+  silent = false;
+  answers.get(spare && answers.has('spare') ? 'spare' : 'busy')!(200);
+  events.push(await answer);
+  liveness.dispose();
+  return events.join(', ');
+}
+
+test('a call at a daemon that is too busy to answer probes is not given up', async () => {
+  const rows = [
+    `no other upstream: ${await callThroughSilence({ spare: false, budget: true })}`,
+    `no budget: ${await callThroughSilence({ spare: true, budget: false })}`,
+    `with budget: ${await callThroughSilence({ spare: true, budget: true })}`,
+  ];
+  assert.snapshot(
+    rows.join('\n'),
+    `no other upstream: sends to busy, is answered 200
+no budget: sends to busy, is answered 200
+with budget: sends to busy, sends to spare, is answered 200`,
+  );
+});
+
+test.run();
