Show that a waiting call is begun in a long turn although it was given up

What callers saw: their attempt reached a server 1.7 s after they had been answered 502, and was cut 3 to 5 ms later. It had waited for a slot beside the server. After a long turn of the event loop the slot was handed out before the close that lay in the socket behind it was read.

The test fails on the present code.

--- /dev/null
+++ b/src/request/LocalUpstream.test.ts
@@ -0,0 +1,76 @@
+import type { Dispatcher } from 'undici';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import ManualClock from '../../stand-in/ManualClock';
+import type { Address } from '../common/Types';
+import AttemptRegistry, { DEFAULT_REGISTRY_OPTIONS } from './AttemptRegistry';
+import CALLER_LEFT from './callerLeft';
+import CancelSource from './CancelSource';
+import OWN_HEADER_NAMES from './headerNames';
+import LocalUpstream, { type LocalUpstreamServices } from './LocalUpstream';
+import type { AttemptContext, CallRequest } from './Types';
+
+const LIMITS = { slots: 1, queue: 8, warmUpMs: 0 };
+const LONG_TURN_MS = 800;
+
+function requestFor(path: string): CallRequest {
+  return { method: 'GET', path, requestId: undefined, headers: [], body: null };
+}
+
+function contextOf(number: number): AttemptContext {
+  const id = { daemon: 'peer', incarnation: 1, number };
+  const times = { deadline: 60_000, objective: 60_000 };
+  return { id, service: 's', route: 'r', priority: 0, ...times } as unknown as AttemptContext;
+}
+
+/** An upstream with one slot that answers when the test says so. */
+function upstreamWith(waitedMs: () => number) {
+  const sent: string[] = [];
+  const handlers: Dispatcher.DispatchHandler[] = [];
+  const clock = new ManualClock();
+  const pool = {
+    dispatch: ({ path }: { path: string }, handler: Dispatcher.DispatchHandler) => {
+      sent.push(path);
+      handlers.push(handler);
+    },
+  };
+  const services = {
+    connect: () => ({ pool, endedInOrder: () => true }),
+    registry: new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock),
+    names: OWN_HEADER_NAMES,
+    lagMs: () => 0,
+    waitedMs,
+    clock,
+    logger: { log: () => undefined },
+    onUnreachable: () => undefined,
+  } as unknown as LocalUpstreamServices;
+  const upstream = new LocalUpstream(LIMITS, '127.0.0.1:1' as Address, services);
+  const answerFirst = () => {
+    const controller = { paused: false, resume: () => undefined };
+    const used = controller as unknown as Dispatcher.DispatchController;
+    handlers[0]!.onRequestStart?.(used, {});
+    handlers[0]!.onResponseStart?.(used, 200, { 'content-length': '0' });
+    handlers[0]!.onResponseEnd?.(used, {});
+  };
+  return { upstream, sent, answerFirst };
+}
+
+test('a call whose caller left in a long turn is not begun when a slot comes free in it', async () => {
+  const { upstream, sent, answerFirst } = upstreamWith(() => LONG_TURN_MS);
+  const first = upstream.run(requestFor('/first'), contextOf(1), new CancelSource());
+  while (sent.length === 0) await new Promise(setImmediate);
+  const cancel = new CancelSource();
+  const second = upstream.run(requestFor('/second'), contextOf(2), cancel).then(
+    () => 'answered',
+    (error: Error) => error.name,
+  );
+  // The answer that frees the slot is read ahead of the close.
+  answerFirst();
+  setImmediate(() => cancel.abort(CALLER_LEFT));
+  await first;
+  for (let turn = 0; turn < 10; turn += 1) await new Promise(setImmediate);
+  assert.equal(sent, ['/first']);
+  assert.is(await second, 'NotRunError');
+});
+
+test.run();
