See closes before a call that waited for its slot is begun

Cause: what is read late waits some turns of the event loop for closes that lie behind it. A call that was read in time and then waits for a slot doesn't: after a long turn the slot is handed out by a timer or by the answer that frees it, and the call is begun before its close is read.

Change: LocalUpstream lets closes be seen before it begins a call that waited. A call that finds a free slot was read in the same turn and has done so already.

--- a/src/process/UpstreamRegistration.test.ts
+++ b/src/process/UpstreamRegistration.test.ts
@@ -79,6 +79,7 @@
     attempts: new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock),
     names: OWN_HEADER_NAMES,
     lagMs: () => 0,
+    waitedMs: () => 0,
     leaseMs: LEASE_MS,
     clock,
     logger: { log: () => undefined },
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -40,6 +40,8 @@
   readonly names: HeaderNames;
   /** Lag of this daemon's event loop, in milliseconds. */
   readonly lagMs: () => number;
+  /** How long what is read now may have waited, in milliseconds. */
+  readonly waitedMs: () => number;
   /** How long an announcement holds, in milliseconds. */
   readonly leaseMs: number;
   readonly clock: Clock;
@@ -196,7 +198,7 @@
 
   private connect(service: Service, limits: UpstreamLimits, registered: Registered): LocalUpstream {
     const { address } = registered.announcement;
-    const { attempts, names, lagMs, clock, logger } = this.services;
+    const { attempts, names, lagMs, waitedMs, clock, logger } = this.services;
     return new LocalUpstream(limits, address, {
       connect: () =>
         new UpstreamConnections(address, {
@@ -207,6 +209,7 @@
       registry: attempts,
       names,
       lagMs,
+      waitedMs,
       clock,
       logger,
       onUnreachable: () => this.noteUnreachable(registered.announcement.instance),
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -233,6 +233,7 @@
       attempts,
       names,
       lagMs: () => lag.currentMs,
+      waitedMs: () => lag.waitedMs,
       leaseMs: settings.upstream.lease,
       clock,
       logger: logger('upstream'),
--- a/src/request/Admission.ts
+++ b/src/request/Admission.ts
@@ -134,6 +134,11 @@
     return this.queue.length;
   }
 
+  /** Whether a call that arrives now gets a slot at once. */
+  public get hasFreeSlot(): boolean {
+    return this.queue.length === 0 && this.occupied() < this.slots();
+  }
+
   /** What callers' daemons place their calls by. */
   public get slotLoad(): SlotLoad {
     const slots = this.slots();
@@ -156,9 +161,7 @@
    * @throws NotRunError - The queue is full, the wait would be too long, or the caller left.
    */
   public acquire(request: AdmissionRequest, signal: CancelSignal): Promise<Release> {
-    if (this.queue.length === 0 && this.occupied() < this.slots()) {
-      return Promise.resolve(this.take(request));
-    }
+    if (this.hasFreeSlot) return Promise.resolve(this.take(request));
     const durationMs = this.expectedMs(request);
     const refusal = this.refusal(request, durationMs);
     if (refusal) {
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -5,6 +5,7 @@
 import exchange from './exchange';
 import ExchangeError from './ExchangeError';
 import NotRunError from './NotRunError';
+import settleCloses from './settleCloses';
 import type StreamedAnswer from './StreamedAnswer';
 import type {
   Answer,
@@ -39,6 +40,8 @@
   readonly names: HeaderNames;
   /** Lag of this daemon's event loop, in milliseconds. */
   readonly lagMs: () => number;
+  /** How long what is read now may have waited, in milliseconds. */
+  readonly waitedMs: () => number;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Told when the upstream takes no connection. */
@@ -127,14 +130,17 @@
     context: AttemptContext,
     signal: CancelSignal,
   ): Promise<Answer> {
-    const { registry } = this.services;
+    const { registry, waitedMs } = this.services;
     const { id } = context;
     if (this.draining) throw new NotRunError('the upstream takes no new work');
     if (!registry.begin(id)) throw new NotRunError('the attempt was forbidden before it came');
     let ran = false;
     this.open += 1;
     try {
+      const waits = !this.admission.hasFreeSlot;
       const release = await this.admission.acquire(context, signal);
+      // In a long turn the slot comes free before the close of a call that was given up is read.
+      if (waits) await settleCloses(waitedMs());
       const late = this.services.clock.now() >= context.deadline;
       if (late || signal.aborted || this.draining || !registry.start(id)) {
         release();
