Don't learn a call's duration from a slot that was given back unused

What callers saw: nothing told it apart; found while reading what becomes of calls that were given up while they waited. Each noted a duration of 0 ms, 20 of them drew an average of 100 ms to 12 ms (the new test on the code before), so that the queue promised waits that it could not keep.

Change: a slot whose call was never sent is given back as unused. Result: the average stays 100 ms.

--- a/src/request/Admission.test.ts
+++ b/src/request/Admission.test.ts
@@ -154,4 +154,18 @@
   assert.equal(counts, [2, 4, 8]);
 });
 
+test('slots that were given back unused do not make calls look short', async () => {
+  const clock = new ManualClock();
+  const admission = new Admission(SERVICE, clock, 0);
+  const request = { route: ROUTE, priority: INTERACTIVE, deadline: 900, objective: 900 };
+  const use = async (ms: number, used?: boolean) => {
+    const release = await admission.acquire(request, NEVER);
+    clock.advance(ms);
+    release(used);
+  };
+  await use(100);
+  for (let call = 0; call < 20; call += 1) await use(0, false);
+  assert.is(admission.durationMs(ROUTE), 100);
+});
+
 test.run();
--- a/src/request/Admission.ts
+++ b/src/request/Admission.ts
@@ -36,8 +36,12 @@
 /** Limits of one upstream. */
 export type UpstreamLimits = Pick<Service, 'slots' | 'queue' | 'warmUpMs'>;
 
-/** Ends the use of a slot. */
-export type Release = () => void;
+/**
+ * Ends the use of a slot.
+ *
+ * @param used - False where the call was never sent, so that its time tells nothing.
+ */
+export type Release = (used?: boolean) => void;
 
 /** What decides when a call gets its slot; times are monotonic, in milliseconds. */
 export interface AdmissionRequest {
@@ -219,10 +223,10 @@
     const running: Running = { startedAt, overdueAt: startedAt + overdueMs };
     this.active.add(running);
     this.shares.note(request.route, true);
-    return () => {
+    return (used = true) => {
       if (!this.active.delete(running)) return;
       const endedAt = this.clock.now();
-      this.times.note(request.route, endedAt - startedAt, endedAt);
+      if (used) this.times.note(request.route, endedAt - startedAt, endedAt);
       this.fill();
     };
   }
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -1,5 +1,5 @@
 import type { Address, Clock, Disposable, InstanceId, Logger } from '../common/Types';
-import Admission, { type UpstreamLimits } from './Admission';
+import Admission, { type Release, type UpstreamLimits } from './Admission';
 import type AttemptRegistry from './AttemptRegistry';
 import { upstreamHeaders } from './callHeaders';
 import exchange from './exchange';
@@ -143,7 +143,7 @@
       if (waits) await settleCloses(waitedMs());
       const late = this.services.clock.now() >= context.deadline;
       if (late || signal.aborted || this.draining || !registry.start(id)) {
-        release();
+        release(false);
         throw new NotRunError('the attempt was given up while it waited');
       }
       ran = true;
@@ -174,7 +174,7 @@
     request: CallRequest,
     context: AttemptContext,
     signal: CancelSignal,
-    release: () => void,
+    release: Release,
   ): Promise<Answer> {
     const { clock, names } = this.services;
     const { connections } = this;
@@ -194,7 +194,7 @@
       this.judge(answer, request);
     } catch (error) {
       const elapsedMs = clock.now() - began;
-      release();
+      release(!(error instanceof ExchangeError) || error.sent);
       this.noteFailure(error as Error, context, connections, elapsedMs);
       throw LocalUpstream.translate(error as Error);
     }
