See closes before a call is sent again

What callers saw: a call that reached a server 1.2 s after its client had left.

After a long turn a refusal or a failure is read before the close of the caller's connection, and the call is sent to another daemon although nobody waits for it.

Change: Call lets closes be seen before it decides on another attempt.

--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -5,6 +5,7 @@
 import isIdempotent from './isIdempotent';
 import NotRunError from './NotRunError';
 import type RetryBudget from './RetryBudget';
+import settleCloses from './settleCloses';
 import type {
   Answer,
   AttemptContext,
@@ -48,6 +49,8 @@
   readonly nextAttempt: () => AttemptNumber;
   /** Lag of the event loop, in milliseconds. */
   readonly lagMs: () => number;
+  /** How long what is read now may have waited, in milliseconds. */
+  readonly waitedMs: () => number;
   readonly onAttempt: (kind: 'first' | 'retry' | 'hedge') => void;
 }
 
@@ -132,16 +135,23 @@
       if (!upstream) throw this.settle(new NotRunError('no upstream takes the call'));
       try {
         const answer = await this.hedged(upstream, signal, offers === 1 ? 'first' : 'retry');
+        if (RETRIED_STATUSES.has(answer.status)) await this.seeCloses();
         if (!this.mayImprove(answer, signal)) return answer;
         this.mayHaveRun = true;
         answer.dispose();
       } catch (error) {
         if (!(error instanceof CallError)) throw error;
+        await this.seeCloses();
         if (!this.mayRetry(error, offers, signal)) throw this.settle(error);
       }
     }
   }
 
+  /** In a long turn a failure is read before the close of a caller who has left. */
+  private seeCloses(): Promise<void> {
+    return settleCloses(this.services.waitedMs());
+  }
+
   /** One that was tried comes into question again only where no other is left. */
   private choose(): Upstream | undefined {
     return this.place(this.tried) ?? this.place(NONE);
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -55,8 +55,6 @@
   readonly logger: Logger;
   readonly report: (report: CallReport) => void;
   readonly guard: OverloadGuard;
-  /** How long a request that is read now may have waited, in milliseconds. */
-  readonly waitedMs: () => number;
   /** Whether the configuration in force is known to be no older than that of other daemons. */
   readonly isCurrent: () => boolean;
 }
