Don't take a silent daemon for a dead one

Cause: two probes without an answer within 300 ms made a daemon lost, and its loss freed every call there that may run again. A daemon whose event loop is held up for 0.6 s fails both. So does a sound one when the daemon that asks is held up, as timers run before what came in is read. Without budget for a repeat the caller was answered 502, and the attempt waited on.

Ruled out: the end of the stopping daemon (callers' connections end in the same turn, so that no 502 would come through whole); an end of the channel (the other daemon ran on).

Calls at a silent daemon go on; those that may run twice may have a second attempt at once, again at each further sign while the budget lets none through. Calls at an unreachable one are given up as before. The log line has the state.

The probe's result has three values in place of two, so the tests of PeerLiveness say "unreachable" where they said false; what they check stays, and two cases are new.

--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -248,9 +248,9 @@
       async (address) => {
         // The ping shows on the channel in use what the probe shows on a new connection.
         channels.ping(address);
-        const answers = await probeDaemon(address);
-        if (answers) channels.closeSilent(address);
-        return answers;
+        const result = await probeDaemon(address);
+        if (result === 'answers') channels.closeSilent(address);
+        return result;
       },
       { silenceMs: calls.quiet },
       clock,
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -1,7 +1,7 @@
 import type { AttemptNumber, Clock, DaemonId, Incarnation, ServiceName } from '../common/Types';
 import type { Route, Service } from '../version/Types';
 import CallError from './CallError';
-import hedgedAttempt from './hedgedAttempt';
+import hedgedAttempt, { type Attempt } from './hedgedAttempt';
 import isIdempotent from './isIdempotent';
 import NotRunError from './NotRunError';
 import type RetryBudget from './RetryBudget';
@@ -211,22 +211,26 @@
     return new UnknownOutcomeError(reason);
   }
 
-  /** Sends a second attempt where the first is a straggler and the call may run twice. */
+  /**
+   * Sends a second attempt where the first is a straggler, or its upstream's daemon is silent, and
+   * the call may run twice.
+   */
   private hedged(
     upstream: Upstream,
     signal: CancelSignal,
     kind: 'first' | 'retry',
   ): Promise<Answer> {
     const { balancer, lagMs } = this.services;
-    const first = (cancel: CancelSignal) => this.attempt(upstream, cancel, kind);
-    if (!this.idempotent || this.attemptsAbove > 1) return first(signal);
-    const second = () => {
+    const first: Attempt = (cancel, onSilent) => this.attempt(upstream, cancel, kind, onSilent);
+    if (!this.idempotent || this.attemptsAbove > 1) return first(signal, () => undefined);
+    const second = (silent: boolean): Attempt | undefined => {
       if (lagMs() > MAX_HEDGE_LAG_MS) return undefined;
       const other = this.place(this.tried);
+      if (!other) return undefined;
       // Where calls wait for slots, a second attempt delays more than it saves.
-      if (!other || (balancer.known(other)?.load.waiting ?? 0) > 0) return undefined;
+      if (!silent && (balancer.known(other)?.load.waiting ?? 0) > 0) return undefined;
       if (!this.mayReachAnother()) return undefined;
-      return (cancel: CancelSignal) => this.attempt(other, cancel, 'hedge');
+      return (cancel, onSilent) => this.attempt(other, cancel, 'hedge', onSilent);
     };
     return hedgedAttempt(first, second, this.stragglerMs(), signal);
   }
@@ -246,6 +250,7 @@
     upstream: Upstream,
     signal: CancelSignal,
     kind: AttemptTrace['kind'],
+    onSilent: () => void,
   ): Promise<Answer> {
     const { balancer, transport, clock, onAttempt } = this.services;
     onAttempt(kind);
@@ -258,7 +263,7 @@
     const began = clock.now();
     let result: AttemptResult = { kind: 'cancelled' };
     try {
-      const answer = await transport.send(upstream, this.request, context, signal);
+      const answer = await transport.send(upstream, this.request, context, signal, onSilent);
       trace.result = String(answer.status);
       const latencyMs = clock.now() - began;
       result = RETRIED_STATUSES.has(answer.status)
--- a/src/request/PeerLiveness.test.ts
+++ b/src/request/PeerLiveness.test.ts
@@ -4,46 +4,85 @@
 import SystemClock from '../common/SystemClock';
 import type { Address } from '../common/Types';
 import PeerLiveness from './PeerLiveness';
+import type { ProbeResult } from './Types';
 
 const PEER = 'peer:1' as Address;
 const QUIET = { log: () => undefined };
 const SILENCE_MS = 20;
 
+/** Notes what each of two calls is told. */
+function watchers(told: string[]) {
+  return ['a', 'b'].map((call) => ({
+    onSilent: () => told.push(`${call}: silent`),
+    onUnreachable: () => told.push(`${call}: unreachable`),
+  }));
+}
+
 /** Waits until something holds; how long that took is no matter. */
 async function until(holds: () => boolean): Promise<void> {
   while (!holds()) await delay(5);
 }
 
 test('calls at a daemon that went silent are freed at once, and it comes back', async () => {
-  let answers = false;
-  const probe = () => Promise.resolve(answers);
+  let result: ProbeResult = 'unreachable';
+  const probe = () => Promise.resolve(result);
   const liveness = new PeerLiveness(probe, { silenceMs: SILENCE_MS }, new SystemClock(), QUIET);
-  const freed: string[] = [];
-  for (const call of ['a', 'b']) liveness.watch(PEER, () => freed.push(call));
+  const told: string[] = [];
+  for (const watcher of watchers(told)) liveness.watch(PEER, watcher);
   await until(() => liveness.isLost(PEER));
-  assert.equal(freed, ['a', 'b']);
-  answers = true;
+  assert.equal(told, ['a: unreachable', 'b: unreachable']);
+  result = 'answers';
   await until(() => !liveness.isLost(PEER));
   liveness.dispose();
 });
 
+test('calls at a daemon that takes connections and does not answer are not freed', async () => {
+  let probes = 0;
+  const probe = async (): Promise<ProbeResult> => {
+    probes += 1;
+    // One connection in two fails, as packets may be lost.
+    return probes % 2 === 0 ? 'unreachable' : 'silent';
+  };
+  const liveness = new PeerLiveness(probe, { silenceMs: SILENCE_MS }, new SystemClock(), QUIET);
+  const told: string[] = [];
+  for (const watcher of watchers(told)) liveness.watch(PEER, watcher);
+  await until(() => liveness.isLost(PEER) && probes >= 4);
+  assert.equal([...new Set(told)], ['a: silent', 'b: silent']);
+  liveness.heard(PEER);
+  liveness.dispose();
+});
+
+test('calls at a silent daemon are freed once it takes no connection any more', async () => {
+  let result: ProbeResult = 'silent';
+  const probe = () => Promise.resolve(result);
+  const liveness = new PeerLiveness(probe, { silenceMs: SILENCE_MS }, new SystemClock(), QUIET);
+  const told: string[] = [];
+  for (const watcher of watchers(told)) liveness.watch(PEER, watcher);
+  await until(() => told.includes('b: silent'));
+  result = 'unreachable';
+  await until(() => told.includes('b: unreachable'));
+  assert.ok(told.includes('a: unreachable'));
+  liveness.heard(PEER);
+  liveness.dispose();
+});
+
 test('a slow call at a daemon that answers probes keeps waiting', async () => {
   let probes = 0;
   const probe = () => {
     probes += 1;
-    return Promise.resolve(true);
+    return Promise.resolve('answers' as const);
   };
   const liveness = new PeerLiveness(probe, { silenceMs: SILENCE_MS }, new SystemClock(), QUIET);
-  const freed: string[] = [];
-  liveness.watch(PEER, () => freed.push('slow'));
+  const told: string[] = [];
+  liveness.watch(PEER, watchers(told)[0]!);
   await until(() => probes >= 3);
-  assert.equal(freed, []);
+  assert.equal(told, []);
   assert.not(liveness.isLost(PEER));
   liveness.dispose();
 });
 
 test('a refused connection is a loss without a probe', () => {
-  const probe = () => Promise.resolve(false);
+  const probe = () => Promise.resolve('unreachable' as const);
   const liveness = new PeerLiveness(probe, { silenceMs: SILENCE_MS }, new SystemClock(), QUIET);
   liveness.refused(PEER);
   assert.ok(liveness.isLost(PEER));
--- a/src/request/PeerLiveness.ts
+++ b/src/request/PeerLiveness.ts
@@ -1,5 +1,5 @@
 import type { Address, Clock, Disposable, Logger } from '../common/Types';
-import type { Liveness } from './Types';
+import type { Liveness, PeerWatcher, ProbeResult } from './Types';
 
 /** How often awaited daemons are looked at, in milliseconds. */
 const CHECK_MS = 50;
@@ -10,6 +10,8 @@
 /** Probes of a lost daemon after which it is asked no more until a call goes to it again. */
 const MAX_LOST_PROBES = 150;
 
+type Loss = Exclude<ProbeResult, 'answers'>;
+
 /** Settings of the watch, in milliseconds. */
 export interface PeerLivenessOptions {
   /** Time without a sign of an awaited daemon after which it is probed. */
@@ -18,13 +20,13 @@
 
 interface Watch {
   readonly since: number;
-  readonly onLost: () => void;
+  readonly watcher: PeerWatcher;
 }
 
 interface Peer {
   heardAt: number;
   probing: boolean;
-  lost: boolean;
+  state: ProbeResult;
   readonly watches: Set<Watch>;
 }
 
@@ -34,6 +36,8 @@
  * Load it answers: VMs that are cut off, frozen or without power, whose connections stay open and
  * silent. Waiting for each call's deadline would hold every call placed there; here the first
  * silence of a daemon starts a probe on a new connection, and its loss frees all calls at once.
+ * A daemon that takes the connection and gives no answer isn't lost: it may be too busy, and what
+ * was sent to it may be running. Its calls go on, beside second attempts where those are allowed.
  */
 export default class PeerLiveness implements Liveness, Disposable {
   private readonly peers = new Map<Address, Peer>();
@@ -43,13 +47,13 @@
   private disposed = false;
 
   /**
-   * @param probe - Asks a daemon on a new connection; resolves to whether it answered in time.
+   * @param probe - Asks a daemon on a new connection.
    * @param options - When to probe.
    * @param clock - Source of time.
    * @param logger - Log of this part.
    */
   public constructor(
-    private readonly probe: (address: Address) => Promise<boolean>,
+    private readonly probe: (address: Address) => Promise<ProbeResult>,
     private readonly options: PeerLivenessOptions,
     private readonly clock: Clock,
     private readonly logger: Logger,
@@ -58,7 +62,7 @@
   }
 
   public isLost(address: Address): boolean {
-    return this.peers.get(address)?.lost ?? false;
+    return (this.peers.get(address)?.state ?? 'answers') !== 'answers';
   }
 
   public heard(address: Address): void {
@@ -66,13 +70,12 @@
   }
 
   public refused(address: Address): void {
-    const peer = this.peer(address);
-    if (!peer.lost) this.lose(address, 'it takes no connection');
+    if (!this.isLost(address)) this.lose(address, 'unreachable', 'it takes no connection');
   }
 
-  public watch(address: Address, onLost: () => void): Disposable {
+  public watch(address: Address, watcher: PeerWatcher): Disposable {
     const peer = this.peer(address);
-    const watch: Watch = { since: this.clock.now(), onLost };
+    const watch: Watch = { since: this.clock.now(), watcher };
     peer.watches.add(watch);
     return { dispose: () => peer.watches.delete(watch) };
   }
@@ -86,7 +89,7 @@
     const now = this.clock.now();
     for (const [address, peer] of this.peers) {
       const [oldest] = peer.watches;
-      if (!oldest || peer.probing || peer.lost) continue;
+      if (!oldest || peer.probing || peer.state !== 'answers') continue;
       if (now - Math.max(oldest.since, peer.heardAt) < this.options.silenceMs) continue;
       void this.probeSilent(address);
     }
@@ -96,54 +99,74 @@
     const peer = this.peer(address);
     peer.probing = true;
     const { heardAt } = peer;
+    let state: Loss = 'unreachable';
     try {
       for (let failed = 0; failed < PROBES_BEFORE_LOST; failed += 1) {
-        if (await this.probe(address)) {
+        const result = await this.probe(address);
+        if (result === 'answers') {
           this.found(address);
           return;
         }
         // An answer to a call meanwhile says as much as one to the probe.
         if (peer.heardAt !== heardAt) return;
+        if (result === 'silent') state = 'silent';
       }
     } finally {
       peer.probing = false;
     }
-    this.lose(address, 'it did not answer probes');
+    this.lose(address, state, 'it did not answer probes');
   }
 
-  private lose(address: Address, reason: string): void {
+  private lose(address: Address, state: Loss, reason: string): void {
     const peer = this.peer(address);
-    peer.lost = true;
-    this.logger.log('Lost a daemon.', { address, reason, calls: peer.watches.size });
-    for (const { onLost } of [...peer.watches]) onLost();
+    this.note(address, peer, state, reason);
     void this.awaitReturn(address);
   }
 
+  private note(address: Address, peer: Peer, state: Loss, reason: string): void {
+    if (peer.state !== state) {
+      this.logger.log('Lost a daemon.', { address, state, reason, calls: peer.watches.size });
+    }
+    Object.assign(peer, { state });
+    for (const { watcher } of [...peer.watches]) {
+      if (state === 'silent') watcher.onSilent();
+      else watcher.onUnreachable();
+    }
+  }
+
   private async awaitReturn(address: Address): Promise<void> {
     const peer = this.peer(address);
-    for (let probes = 0; probes < MAX_LOST_PROBES && peer.lost; probes += 1) {
+    let unreachable = 0;
+    for (let probes = 0; probes < MAX_LOST_PROBES && this.isLost(address); probes += 1) {
       await new Promise((resolve) => {
         setTimeout(resolve, LOST_PROBE_MS).unref();
       });
-      if (this.disposed || !peer.lost) return;
-      if (await this.probe(address)) this.found(address);
+      if (this.disposed || !this.isLost(address)) return;
+      const result = await this.probe(address);
+      if (!this.isLost(address)) return;
+      unreachable = result === 'unreachable' ? unreachable + 1 : 0;
+      if (result === 'answers') this.found(address);
+      else if (result === 'silent') this.note(address, peer, 'silent', 'it did not answer probes');
+      else if (unreachable >= PROBES_BEFORE_LOST) {
+        this.note(address, peer, 'unreachable', 'it takes no connection');
+      }
     }
     // It may have left for good; a call that comes to it finds out anew.
-    if (peer.lost) this.peers.delete(address);
+    if (this.isLost(address)) this.peers.delete(address);
   }
 
   private found(address: Address): void {
     const peer = this.peer(address);
     peer.heardAt = this.clock.now();
-    if (!peer.lost) return;
-    peer.lost = false;
+    if (peer.state === 'answers') return;
+    peer.state = 'answers';
     this.logger.log('A lost daemon answers again.', { address });
   }
 
   private peer(address: Address): Peer {
     let peer = this.peers.get(address);
     if (!peer) {
-      peer = { heardAt: -Infinity, probing: false, lost: false, watches: new Set() };
+      peer = { heardAt: -Infinity, probing: false, state: 'answers', watches: new Set() };
       this.peers.set(address, peer);
     }
     return peer;
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../common/Types';
 import type CallChannel from './CallChannel';
-import type { ChannelCall, ChannelReply } from './CallChannel';
+import type { ChannelReply } from './CallChannel';
 import type CallChannels from './CallChannels';
 import ExchangeError from './ExchangeError';
 import NotRunError from './NotRunError';
@@ -63,6 +63,7 @@
     request: CallRequest,
     context: AttemptContext,
     signal: CancelSignal,
+    onSilent?: () => void,
   ): Promise<Answer> {
     const channel = this.channels.get(upstream.address);
     const sentAt = this.clock.now();
@@ -84,9 +85,15 @@
       call.abort();
     };
     const watch = this.watch(upstream, context, giveUp);
-    const life = this.liveness.watch(upstream.address, () =>
-      PeerTransport.loseSight(call, context, giveUp),
-    );
+    const neverSent = new NotRunError('never sent: the daemon stopped answering');
+    const life = this.liveness.watch(upstream.address, {
+      onSilent: () => (call.isSent() ? onSilent?.() : giveUp(neverSent)),
+      onUnreachable: () => {
+        if (!call.isSent()) giveUp(neverSent);
+        // What may run once has nothing to gain by being given up.
+        else if (context.idempotent) giveUp(new UnknownOutcomeError('the daemon is unreachable'));
+      },
+    });
     try {
       const reply = await call.reply;
       this.liveness.heard(upstream.address);
@@ -103,16 +110,6 @@
     }
   }
 
-  /** Frees a call whose daemon stopped answering; what may run once has nothing to gain by that. */
-  private static loseSight(
-    call: ChannelCall,
-    { idempotent }: AttemptContext,
-    giveUp: (error: Error) => void,
-  ): void {
-    if (!call.isSent()) giveUp(new NotRunError('never sent: the daemon stopped answering'));
-    else if (idempotent) giveUp(new UnknownOutcomeError('the daemon stopped answering'));
-  }
-
   /** Lets new calls go over another channel where a call was given up on one that may be silent. */
   private suspect({ address }: Upstream, channel: CallChannel, sentAt: number): void {
     const isLong = this.clock.now() - sentAt > SUSPECT_MS;
--- a/src/request/RoutingTransport.ts
+++ b/src/request/RoutingTransport.ts
@@ -28,8 +28,11 @@
     request: CallRequest,
     context: AttemptContext,
     signal: CancelSignal,
+    onSilent?: () => void,
   ): Promise<Answer> {
-    if (upstream.daemon !== this.own) return this.remote.send(upstream, request, context, signal);
+    if (upstream.daemon !== this.own) {
+      return this.remote.send(upstream, request, context, signal, onSilent);
+    }
     const local = this.local();
     if (!local) return Promise.reject(new NotRunError('the upstream here takes no new work'));
     return local.run(request, context, signal);
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -170,6 +170,8 @@
    * @param request - The call.
    * @param context - What travels with it.
    * @param signal - Cancels it.
+   * @param onSilent - Called, perhaps again and again, while the upstream's daemon gives no sign of
+   * life though it can be reached. The attempt goes on and may still be answered.
    * @returns The answer's head.
    * @throws NotRunError - It is proved that the upstream didn't run it.
    * @throws UnknownOutcomeError - It may have run.
@@ -179,6 +181,7 @@
     request: CallRequest,
     context: AttemptContext,
     signal: CancelSignal,
+    onSilent?: () => void,
   ): Promise<Answer>;
 }
 
@@ -250,6 +253,20 @@
   | { readonly kind: 'failed' }
   | { readonly kind: 'cancelled' };
 
+/**
+ * What a probe of a daemon showed. A silent one takes connections, so it lives: it is too busy to
+ * answer, or frozen. An unreachable one has ended, lost power or is cut off.
+ */
+export type ProbeResult = 'answers' | 'silent' | 'unreachable';
+
+/** Is told of a daemon whose answer is awaited. */
+export interface PeerWatcher {
+  /** It was found silent; called again as long as it is. */
+  onSilent(): void;
+  /** It was found unreachable; called again as long as it is. */
+  onUnreachable(): void;
+}
+
 /** Watches whether other daemons answer at all. */
 export interface Liveness {
   /**
@@ -265,8 +282,8 @@
    * Watches a daemon while an answer of it is awaited.
    *
    * @param address - The daemon.
-   * @param onLost - Called once if it is found not to answer.
+   * @param watcher - Told what is found.
    * @returns Ends the watch.
    */
-  watch(address: Address, onLost: () => void): Disposable;
+  watch(address: Address, watcher: PeerWatcher): Disposable;
 }
--- a/src/request/hedgedAttempt.test.ts
+++ b/src/request/hedgedAttempt.test.ts
@@ -77,4 +77,23 @@
   assert.is(await answer.catch(({ message }: Error) => message), 'second');
 });
 
+test('a silent upstream brings the second attempt forward, as soon as one may be made', async () => {
+  const { attempt, ends } = pair();
+  const signs: (() => void)[] = [];
+  const asked: boolean[] = [];
+  const first: Attempt = (cancel, onSilent) => {
+    signs.push(onSilent);
+    return attempt(cancel, onSilent);
+  };
+  const second = (silent: boolean) => {
+    asked.push(silent);
+    return asked.length < 2 ? undefined : attempt;
+  };
+  const answer = hedgedAttempt(first, second, 60_000, NEVER);
+  for (let sign = 0; sign < 3; sign += 1) signs[0]!();
+  assert.equal(asked, [true, true]);
+  ends[0]!.resolve(new FakeAnswer('the silent one'));
+  assert.is(((await answer) as FakeAnswer).name, 'the silent one');
+});
+
 test.run();
--- a/src/request/hedgedAttempt.ts
+++ b/src/request/hedgedAttempt.ts
@@ -4,15 +4,21 @@
 /** Abort reason of an attempt whose other one was answered. A reason saves making an error. */
 const SUPERSEDED = Symbol('superseded');
 
-/** Runs one attempt until it is answered, fails or is cancelled. */
-export type Attempt = (cancel: CancelSignal) => Promise<Answer>;
+/**
+ * Runs one attempt until it is answered, fails or is cancelled.
+ *
+ * @param cancel - Cancels it.
+ * @param onSilent - Called while no sign of life comes from where it was sent.
+ */
+export type Attempt = (cancel: CancelSignal, onSilent: () => void) => Promise<Answer>;
 
 /**
- * Runs an attempt, and a second one beside it where the first takes long. The first answer wins and
- * the other attempt is cancelled.
+ * Runs an attempt, and a second one beside it where the first takes long or its upstream falls
+ * silent. The first answer wins and the other attempt is cancelled.
  *
  * @param first - The attempt.
- * @param second - Gives the second attempt, or `undefined` where none may be made.
+ * @param second - Gives the second attempt, or `undefined` where none may be made now; is told
+ * whether the upstream of the first is silent.
  * @param delayMs - After how many milliseconds the second one starts.
  * @param signal - Cancels both.
  * @returns The first answer.
@@ -20,7 +26,7 @@
  */
 export default function hedgedAttempt(
   first: Attempt,
-  second: () => Attempt | undefined,
+  second: (silent: boolean) => Attempt | undefined,
   delayMs: number,
   signal: CancelSignal,
 ): Promise<Answer> {
@@ -28,13 +34,15 @@
     const open = new Set<CancelSource>();
     let timer: NodeJS.Timeout;
     let won = false;
+    let startedSecond = false;
     const start = async (attempt: Attempt): Promise<void> => {
       const cancel = new CancelSource();
       const leave = () => cancel.abort(signal.reason);
       signal.addEventListener('abort', leave, { once: true });
       open.add(cancel);
       try {
-        const answer = await attempt(cancel);
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- both call each other
+        const answer = await attempt(cancel, () => startSecond(true));
         open.delete(cancel);
         if (won) {
           answer.dispose();
@@ -52,10 +60,15 @@
         reject(error);
       }
     };
-    timer = setTimeout(() => {
-      const attempt = second();
-      if (attempt) void start(attempt);
-    }, delayMs);
+    const startSecond = (silent: boolean) => {
+      if (startedSecond || won || open.size === 0) return;
+      const attempt = second(silent);
+      if (!attempt) return;
+      startedSecond = true;
+      clearTimeout(timer);
+      void start(attempt);
+    };
+    timer = setTimeout(() => startSecond(false), delayMs);
     void start(first);
   });
 }
--- a/src/request/settleCloses.ts
+++ b/src/request/settleCloses.ts
@@ -1,4 +1,4 @@
-import { setImmediate as nextTurn } from 'node:timers/promises';
+import nextTurns from '../common/nextTurns';
 
 /** Wait, in milliseconds, in which a sender may have left. */
 const LATE_MS = 50;
@@ -13,5 +13,5 @@
  */
 export default async function settleCloses(waitedMs: number): Promise<void> {
   if (waitedMs < LATE_MS) return;
-  for (let turn = 0; turn < TURNS; turn += 1) await nextTurn();
+  await nextTurns(TURNS);
 }
--- a/src/request/silentDaemon.test.ts
+++ b/src/request/silentDaemon.test.ts
@@ -57,7 +57,7 @@
   } as unknown as CallChannels;
   let silent = true;
   const liveness = new PeerLiveness(
-    async (address: Address) => !(silent && address === 'busy'),
+    async (address: Address) => (silent && address === 'busy' ? 'silent' : 'answers'),
     { silenceMs: SILENCE_MS },
     clock,
     { log: () => undefined },
