Hold an upstream's departure also where a restarted daemon didn't know it

Cause: departures were kept by id and start. A Leave that tells no start binds the start that is known; a daemon that has just restarted knows none, so the Leave bound only announcements without a start, and the next one that had a start brought the server back. A late heartbeat did.

Ruled out: the lent upstream of a stopping daemon (only the restarted daemon's own upstream was concerned), a lapsed lease, waiting calls, retries.

Change: DepartedStarts. A departure that tells no start, of an upstream that isn't known, binds every start that began before it; ages are compared, and each start is judged once, so that a later step of the time of day takes out none that was taken in. Starts earlier than one that left have left as well: a late heartbeat of an earlier start under the same id came through before. Announcements that change nothing are logged, and start and sequence of those that do.

Both new tests failed before ("late ready: stock serving 9", "late ready of the first: stock serving 9").

--- a/src/process/UpstreamRegistration.test.ts
+++ b/src/process/UpstreamRegistration.test.ts
@@ -23,6 +23,8 @@
 import UpstreamRegistration from './UpstreamRegistration';
 
 const LEASE_MS = 5_000;
+/** Time of day when the clock of a test begins, in milliseconds since the epoch. */
+const EPOCH_MS = 1_000_000;
 
 function headOf(content: string): Head {
   const folder = [{ name: '10.toml' as FileName, content }];
@@ -52,6 +54,7 @@
 /** A registration, and the member record that other daemons see after each step. */
 function registrationOf() {
   const clock = new ManualClock();
+  const timeOfDay = { ahead: EPOCH_MS };
   const own = {
     id: 'coq-1' as DaemonId,
     incarnation: 1 as Incarnation,
@@ -82,6 +85,7 @@
     waitedMs: () => 0,
     leaseMs: LEASE_MS,
     clock,
+    timeOfDay: () => timeOfDay.ahead + clock.now(),
     logger: { log: () => undefined },
   });
   const lines: string[] = [];
@@ -90,7 +94,7 @@
     const { service, state, slots } = members.self;
     lines.push(`${name}: ${service} ${state} ${slots}`);
   };
-  return { registration, members, lines, step };
+  return { registration, members, clock, timeOfDay, lines, step };
 }
 
 test('late, repeated and foreign news of an upstream change nothing', () => {
@@ -131,4 +135,65 @@
   members.dispose();
 });
 
+test('a late ready, after a departure that a restarted daemon acknowledged, offers nothing', () => {
+  const { registration, members, clock, timeOfDay, lines, step } = registrationOf();
+  const instance = 'i-1' as InstanceId;
+  const leaves = () => registration.depart({ instance, startedAt: undefined });
+  const announce = (announcement: Announcement) => () => registration.announce(announcement);
+  const startedAt = EPOCH_MS - 9_000;
+  step('leaves, not known yet', leaves);
+  clock.advance(2_200);
+  step('late ready', announce(says(instance, 23, { startedAt })));
+  step('late ready of an earlier start', announce(says(instance, 40, { startedAt: 500 })));
+  clock.advance(500);
+  step('leaves again as it ends', leaves);
+  step('later ready', announce(says(instance, 24, { startedAt })));
+  clock.advance(1_000);
+  const next = { startedAt: EPOCH_MS + clock.now() };
+  clock.advance(10);
+  step('next start under the same id', announce(says(instance, 1, next)));
+  step('late ready beside it', announce(says(instance, 25, { startedAt })));
+  step('another that nobody knew leaves', () =>
+    registration.depart({ instance: 'i-2' as InstanceId, startedAt: undefined }),
+  );
+  timeOfDay.ahead += 60_000;
+  step('next start drains', announce(says(instance, 2, { ...next, state: 'draining' })));
+  assert.snapshot(
+    lines.join('\n'),
+    `leaves, not known yet: null none null
+late ready: null none null
+late ready of an earlier start: null none null
+leaves again as it ends: null none null
+later ready: null none null
+next start under the same id: stock serving 9
+late ready beside it: stock serving 9
+another that nobody knew leaves: stock serving 9
+next start drains: stock draining 9`,
+  );
+  registration.dispose();
+  members.dispose();
+});
+
+test('late news of an earlier start under the id of one that left offers nothing', () => {
+  const { registration, members, lines, step } = registrationOf();
+  const instance = 'i-1' as InstanceId;
+  step('first', () => registration.announce(says(instance, 1, { startedAt: 100 })));
+  step('second', () => registration.announce(says(instance, 1, { startedAt: 200 })));
+  step('second leaves', () => registration.depart({ instance, startedAt: undefined }));
+  step('late ready of the first', () =>
+    registration.announce(says(instance, 9, { startedAt: 100 })),
+  );
+  step('third', () => registration.announce(says(instance, 1, { startedAt: 300 })));
+  assert.snapshot(
+    lines.join('\n'),
+    `first: stock serving 9
+second: stock serving 9
+second leaves: null none null
+late ready of the first: null none null
+third: stock serving 9`,
+  );
+  registration.dispose();
+  members.dispose();
+});
+
 test.run();
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -8,6 +8,7 @@
 import type { HeaderNames } from '../request/Types';
 import UpstreamConnections from '../request/UpstreamConnections';
 import type { CurrentVersion, Service } from '../version/Types';
+import DepartedStarts from './DepartedStarts';
 import type { Announcement, Departure, UpstreamStatus } from './Types';
 
 const SWEEP_MS = 500;
@@ -17,8 +18,6 @@
 const KEEP_ALIVE_MS = 4_000;
 /** Calls that may wait for each slot that an upstream announced; their waits bound them sooner. */
 const QUEUE_PER_SLOT = 8;
-/** Starts of upstreams that left and are remembered, so that late news can't bring them back. */
-const DEPARTED_REMEMBERED = 64;
 
 interface Registered {
   announcement: Announcement;
@@ -45,6 +44,8 @@
   /** How long an announcement holds, in milliseconds. */
   readonly leaseMs: number;
   readonly clock: Clock;
+  /** Milliseconds since the epoch. */
+  readonly timeOfDay: () => number;
   readonly logger: Logger;
 }
 
@@ -57,17 +58,13 @@
   return a.instance === b.instance && (a.sequence ?? 0) <= (b.sequence ?? 0);
 }
 
-function startKey({ instance, startedAt }: Departure): string {
-  return `${instance} ${startedAt ?? ''}`;
-}
-
 /** Keeps the upstream beside this daemon while it renews its lease, and tells the members of it. */
 export default class UpstreamRegistration implements Disposable {
   private registered: Registered | undefined;
 
   private retired: LocalUpstream[] = [];
 
-  private readonly departed = new Set<string>();
+  private readonly departed: DepartedStarts;
 
   private stopping = false;
 
@@ -77,6 +74,7 @@
 
   /** @param services - What it uses. */
   public constructor(private readonly services: RegistrationServices) {
+    this.departed = new DepartedStarts(services.clock, services.timeOfDay);
     this.subscription = services.versions.onSwap(() => this.refresh());
     this.sweeper = setInterval(() => this.expire(), SWEEP_MS);
     this.sweeper.unref();
@@ -111,9 +109,15 @@
    */
   public announce(announcement: Announcement): void {
     const before = this.registered?.announcement;
-    if (before && isOutdated(announcement, before)) return;
+    if (before && isOutdated(announcement, before)) {
+      this.logIgnored(announcement, 'it is older than what is known');
+      return;
+    }
     const { instance, startedAt } = announcement;
-    if (instance !== undefined && this.departed.has(startKey({ instance, startedAt }))) return;
+    if (instance !== undefined && this.departed.has(instance, startedAt)) {
+      this.logIgnored(announcement, 'that start left');
+      return;
+    }
     if (before && UpstreamRegistration.isAnother(announcement, before)) this.retire();
     if (before?.state !== announcement.state || before?.instance !== instance) {
       this.logAnnouncement(announcement);
@@ -132,19 +136,14 @@
 
   /** @param departure - The start of an upstream that leaves; nothing of it counts from now on. */
   public depart(departure: Departure): void {
-    this.departed.add(startKey(departure));
-    for (const key of this.departed) {
-      if (this.departed.size <= DEPARTED_REMEMBERED) break;
-      this.departed.delete(key);
-    }
     const { announcement } = this.registered ?? {};
     const isKnown =
       announcement?.instance === departure.instance &&
       (departure.startedAt === undefined || announcement.startedAt === departure.startedAt);
     this.services.logger.log('An upstream leaves.', { ...departure, known: isKnown });
-    if (!isKnown) return;
     // A departure that doesn't tell its start is of the one that is known.
-    this.departed.add(startKey({ ...departure, startedAt: announcement.startedAt }));
+    this.departed.add(isKnown ? { ...departure, startedAt: announcement.startedAt } : departure);
+    if (!isKnown) return;
     this.retire();
     this.publish();
   }
@@ -169,16 +168,31 @@
     for (const upstream of this.retired) upstream.dispose();
   }
 
-  private logAnnouncement({ service, address, state, instance, slots }: Announcement): void {
+  private logAnnouncement(announcement: Announcement): void {
+    const { service, address, state, instance, startedAt, sequence, slots } = announcement;
     this.services.logger.log('An upstream announced itself.', {
       service,
       address,
       state,
       instance,
+      startedAt,
+      sequence,
       slots,
     });
   }
 
+  private logIgnored(announcement: Announcement, reason: string): void {
+    const { state, instance, startedAt, sequence } = announcement;
+    this.services.logger.log('An announcement changes nothing.', {
+      state,
+      instance,
+      startedAt,
+      sequence,
+      reason,
+      known: this.registered?.announcement.instance,
+    });
+  }
+
   /** Brings the upstream's limits in line with the configuration in force. */
   private refresh(): void {
     const { registered } = this;
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -236,6 +236,7 @@
       waitedMs: () => lag.waitedMs,
       leaseMs: settings.upstream.lease,
       clock,
+      timeOfDay: () => Date.now(),
       logger: logger('upstream'),
     }),
   );
