Let a long call go on while its daemon is too busy to say what became of it

What callers would see: 502 "the connection fell silent; the attempt is unresolved" after 6.5 s or more on routes with more time than that, calls that may run only once included.

After 5 s without an answer a call's daemon is asked what became of it. "It couldn't be asked within 1.5 s" and "it is a newer incarnation" were one value, and both ended the call; a daemon that is held up fails the question just when its answers are late.

Evidence: the new test was answered "UnknownOutcomeError: ... unresolved" on the code before. Change: the question has a value for each. One that couldn't be asked is asked again as long as the daemon can be reached; a newer incarnation, or an unreachable daemon, ends the call as before.

--- a/src/connection/createFence.ts
+++ b/src/connection/createFence.ts
@@ -14,9 +14,10 @@
           { signal },
         ),
       );
-      return reply.state ?? undefined;
+      return reply.state ?? 'replaced';
     } catch {
-      return undefined;
+      // Whoever asked logs what follows from it.
+      return 'unanswered';
     }
   };
 }
--- a/src/request/PeerTransport.test.ts
+++ b/src/request/PeerTransport.test.ts
@@ -4,10 +4,12 @@
 import type CallChannels from './CallChannels';
 import CancelSource from './CancelSource';
 import ExchangeError from './ExchangeError';
-import PeerTransport from './PeerTransport';
-import type { AttemptContext, CallRequest, Upstream } from './Types';
+import PeerTransport, { type FenceReply } from './PeerTransport';
+import StreamedAnswer from './StreamedAnswer';
+import type { AttemptContext, CallRequest, PeerWatcher, Upstream } from './Types';
 
 const UPSTREAM = { address: '10.0.0.2:7000', incarnation: 1 } as unknown as Upstream;
+const SOURCE = { paused: false, pause: () => {}, resume: () => {}, abort: () => {} };
 const REQUEST = { method: 'POST', path: '/', headers: [], body: null } as unknown as CallRequest;
 
 /** Sends a call whose channel fails as told, and notes what is done about it. */
@@ -76,4 +78,64 @@
   );
 });
 
+/** Sends a call that takes long to a daemon that answers questions after it as told. */
+async function longCall(replies: readonly FenceReply[], reachable: boolean) {
+  const clock = new ManualClock();
+  let answer: (reply: unknown) => void = () => undefined;
+  let abort: () => void = () => undefined;
+  const channels = {
+    get: () => ({
+      lastHeardAt: 0,
+      send: () => ({
+        reply: new Promise((resolve, reject) => {
+          answer = resolve;
+          abort = () => reject(new ExchangeError('aborted', true, true));
+        }),
+        isSent: () => true,
+        abort: () => abort(),
+      }),
+    }),
+    leave: () => undefined,
+  } as unknown as CallChannels;
+  let asked = 0;
+  const fence = async () => {
+    const reply = replies[asked]!;
+    asked += 1;
+    // The answer comes after the last question.
+    if (asked === replies.length) setImmediate(() => answer(new StreamedAnswer(200, {}, SOURCE)));
+    return reply;
+  };
+  const liveness = {
+    isLost: () => !reachable,
+    heard: () => undefined,
+    refused: () => undefined,
+    watch: (_address: unknown, { onUnreachable }: PeerWatcher) => {
+      if (!reachable) onUnreachable();
+      return { dispose: () => undefined };
+    },
+  };
+  const transport = new PeerTransport(channels, fence, liveness, 1, clock);
+  const context = { idempotent: false, deadline: 60_000 } as AttemptContext;
+  return transport.send(UPSTREAM, REQUEST, context, new CancelSource()).then(
+    ({ status }) => `answered ${status}`,
+    (error: Error) => `${error.name}: ${error.message}`,
+  );
+}
+
+test('a long call is not given up because its daemon is too busy to say what became of it', async () => {
+  const rows = [
+    `cannot be asked, reachable: ${await longCall(['unanswered', 'unanswered', 'running'], true)}`,
+    `cannot be asked, unreachable: ${await longCall(['unanswered', 'running'], false)}`,
+    `started anew: ${await longCall(['replaced', 'running'], true)}`,
+    `never came: ${await longCall(['forbidden', 'running'], true)}`,
+  ];
+  assert.snapshot(
+    rows.join('\n'),
+    `cannot be asked, reachable: answered 200
+cannot be asked, unreachable: UnknownOutcomeError: the connection fell silent; the attempt is unresolved
+started anew: UnknownOutcomeError: the connection fell silent; the attempt is unresolved
+never came: NotRunError: the connection fell silent; the attempt was fenced off`,
+  );
+});
+
 test.run();
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -25,6 +25,12 @@
 /** Socket errors of connections that were never opened. */
 const UNREACHABLE_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH']);
 
+/**
+ * What the question after an attempt comes to: its state; or that the daemon is a newer incarnation,
+ * or couldn't be asked, which both prove nothing.
+ */
+export type FenceReply = AttemptState | 'replaced' | 'unanswered';
+
 /**
  * Asks an upstream's daemon, on a new connection, what became of an attempt, and forbids it if it
  * never came.
@@ -32,14 +38,21 @@
  * @param upstream - Where the attempt was sent.
  * @param context - The attempt.
  * @param giveUp - Forbids it also where it waits for a slot.
- * @returns The attempt's state; `undefined` where the daemon can't be asked or is a newer
- * incarnation, which proves nothing.
+ * @returns What it says.
  */
 export type Fence = (
   upstream: Upstream,
   context: AttemptContext,
   giveUp: boolean,
-) => Promise<AttemptState | undefined>;
+) => Promise<FenceReply>;
+
+/** Asks after a call on a channel that may be silent. */
+interface SilenceWatch {
+  timer: NodeJS.Timeout | undefined;
+  stopped: boolean;
+  /** Whether the daemon was found unreachable. */
+  unreachable: boolean;
+}
 
 /** Sends attempts to the daemon beside the upstream. */
 export default class PeerTransport implements AttemptTransport {
@@ -89,6 +102,7 @@
     const life = this.liveness.watch(upstream.address, {
       onSilent: () => (call.isSent() ? onSilent?.() : giveUp(neverSent)),
       onUnreachable: () => {
+        watch.unreachable = true;
         if (!call.isSent()) giveUp(neverSent);
         // What may run once has nothing to gain by being given up.
         else if (context.idempotent) giveUp(new UnknownOutcomeError('the daemon is unreachable'));
@@ -134,15 +148,13 @@
     upstream: Upstream,
     context: AttemptContext,
     giveUp: (error: Error) => void,
-  ): { timer: NodeJS.Timeout; stopped: boolean } {
-    const watch = { timer: undefined as unknown as NodeJS.Timeout, stopped: false };
-    let before: AttemptState | undefined;
+  ): SilenceWatch {
+    const watch: SilenceWatch = { timer: undefined, stopped: false, unreachable: false };
+    let before: FenceReply | undefined;
     const ask = async () => {
       const state = await this.fence(upstream, context, false);
       if (watch.stopped) return;
-      // The answer of an attempt that has just ended may still be on its way.
-      const pending =
-        state === 'running' || state === 'queued' || (state === 'done' && before !== 'done');
+      const pending = PeerTransport.isPending(state, before, watch);
       before = state;
       if (pending) watch.timer = setTimeout(() => void ask(), this.silenceMs);
       else giveUp(PeerTransport.verdict(state, 'the connection fell silent'));
@@ -151,6 +163,18 @@
     return watch;
   }
 
+  private static isPending(
+    state: FenceReply,
+    before: FenceReply | undefined,
+    { unreachable }: SilenceWatch,
+  ): boolean {
+    if (state === 'running' || state === 'queued') return true;
+    // The answer of an attempt that has just ended may still be on its way.
+    if (state === 'done') return before !== 'done';
+    // A daemon that is too busy for the question may be running the call.
+    return state === 'unanswered' && !unreachable;
+  }
+
   private async resolve(
     upstream: Upstream,
     context: AttemptContext,
@@ -162,10 +186,10 @@
     return PeerTransport.verdict(await this.fence(upstream, context, true), error.message);
   }
 
-  private static verdict(state: AttemptState | undefined, reason: string): Error {
-    return state === 'forbidden'
-      ? new NotRunError(`${reason}; the attempt was fenced off`)
-      : new UnknownOutcomeError(`${reason}; the attempt is ${state ?? 'unresolved'}`);
+  private static verdict(state: FenceReply, reason: string): Error {
+    if (state === 'forbidden') return new NotRunError(`${reason}; the attempt was fenced off`);
+    const known = state === 'replaced' || state === 'unanswered' ? 'unresolved' : state;
+    return new UnknownOutcomeError(`${reason}; the attempt is ${known}`);
   }
 
   /** Tells an answer of the upstream from a refusal of its daemon. */
--- a/src/request/silentDaemon.test.ts
+++ b/src/request/silentDaemon.test.ts
@@ -73,7 +73,7 @@
   } as unknown as Balancer;
   const services = {
     balancer,
-    transport: new PeerTransport(channels, async () => undefined, liveness, 60_000, clock),
+    transport: new PeerTransport(channels, async () => 'unanswered', liveness, 60_000, clock),
     clock,
     lagMs: () => 0,
     incarnation: () => 1,
