Say why a straggler got no second attempt; name the requests of the tests' load

Cause: of eight lookups that waited on one silent connection some were sent a second time and some not, and the log didn't tell why; `azurestream trace` had no id to look for, as the stand-in's callers sent none.

Change: `unhedged` in the line of a call, with the lag where the own lag was the reason; CallerLoad sends its id as the request's id too. One field of a line that was written anyway. No decision changes.

--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -86,6 +86,9 @@
   /** Attempts made, for the log. */
   public readonly traces: AttemptTrace[] = [];
 
+  /** Why a straggler got no second attempt, for the log. */
+  public unhedged: string | undefined;
+
   private readonly tried = new Set<DaemonId>();
 
   private readonly idempotent: boolean;
@@ -220,19 +223,28 @@
     signal: CancelSignal,
     kind: 'first' | 'retry',
   ): Promise<Answer> {
-    const { balancer, lagMs } = this.services;
     const first: Attempt = (cancel, onSilent) => this.attempt(upstream, cancel, kind, onSilent);
     if (!this.idempotent || this.attemptsAbove > 1) return first(signal, () => undefined);
-    const second = (silent: boolean): Attempt | undefined => {
-      if (lagMs() > MAX_HEDGE_LAG_MS) return undefined;
-      const other = this.place(this.tried);
-      if (!other) return undefined;
-      // Where calls wait for slots, a second attempt delays more than it saves.
-      if (!silent && (balancer.known(other)?.load.waiting ?? 0) > 0) return undefined;
-      if (!this.mayReachAnother()) return undefined;
-      return (cancel, onSilent) => this.attempt(other, cancel, 'hedge', onSilent);
-    };
-    return hedgedAttempt(first, second, this.stragglerMs(), signal);
+    return hedgedAttempt(first, (silent) => this.second(silent), this.stragglerMs(), signal);
+  }
+
+  /** @param silent - Whether the daemon that has the first attempt is silent. */
+  private second(silent: boolean): Attempt | undefined {
+    const { balancer, lagMs } = this.services;
+    const ownLagMs = lagMs();
+    if (ownLagMs > MAX_HEDGE_LAG_MS) return this.holdBack(`own lag ${Math.round(ownLagMs)} ms`);
+    const other = this.place(this.tried);
+    if (!other) return this.holdBack('no other upstream');
+    // Where calls wait for slots, a second attempt delays more than it saves.
+    const isCrowded = (balancer.known(other)?.load.waiting ?? 0) > 0;
+    if (isCrowded && !silent) return this.holdBack('calls wait there');
+    if (!this.mayReachAnother()) return this.holdBack('no retry is left');
+    return (cancel, onSilent) => this.attempt(other, cancel, 'hedge', onSilent);
+  }
+
+  private holdBack(reason: string): undefined {
+    this.unhedged = reason;
+    return undefined;
   }
 
   /** Milliseconds after which an attempt counts as a straggler. */
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -283,6 +283,7 @@
       durationMs: Math.round(durationMs),
       allowedMs: record.allowedMs,
       attempts: record.call?.traces,
+      unhedged: record.call?.unhedged,
     });
   }
 
--- a/stand-in/CallerLoad.ts
+++ b/stand-in/CallerLoad.ts
@@ -67,7 +67,7 @@
       const response = await request(`http://${daemon}${path}`, {
         method: method as 'GET',
         body,
-        headers: { 'x-call-id': id },
+        headers: { 'x-call-id': id, 'x-azurestream-request-id': id },
         dispatcher: this.agent,
       });
       const text = await response.body.text();
