Try again what was lost with its connection: nobody refused it

Cause: a call is offered twice before it is refused (MAX_OFFERS; meant for daemons that refuse in a storm), and Call counted every round as an offer, also one that the fence proved to have never come. A call whose second attempt was lost too was therefore refused although no daemon had refused it; an unknown outcome, on which a lookup may be tried again, had been worth more than the proof.

Change: NotRunError tells attempts that were lost with their connection; beyond MAX_OFFERS they go on while the time, the route's retries and the retry budget allow. Refusals of daemons and the first two rounds are as before.

Left: calls on a channel that was left aren't closed by closeSilent; a second attempt that the own lag held back isn't asked for again.

--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -186,7 +186,9 @@
     // Below a level that retries already, only proved non-runs go elsewhere.
     if (!notRun && (!this.idempotent || this.attemptsAbove > 1)) return false;
     if (notRun && !error.details.reachedUpstream) {
-      return offers < MAX_OFFERS && this.received <= this.terms.route.retries;
+      if (offers < MAX_OFFERS) return this.received <= this.terms.route.retries;
+      // Nobody refused what was lost with its connection; the budget bounds how often it is sent.
+      return error.details.lost === true && this.mayReachAnother();
     }
     return this.mayReachAnother();
   }
--- a/src/request/NotRunError.ts
+++ b/src/request/NotRunError.ts
@@ -9,6 +9,8 @@
   readonly retryAfterMs?: number;
   /** The upstream itself received the attempt and turned it away. */
   readonly reachedUpstream?: boolean;
+  /** Its connection failed or fell silent under it; the other daemon didn't refuse it. */
+  readonly lost?: boolean;
   /** This daemon itself can't carry the call yet, or can't just now. */
   readonly unready?: boolean;
 }
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -98,7 +98,7 @@
       call.abort();
     };
     const watch = this.watch(upstream, context, giveUp);
-    const neverSent = new NotRunError('never sent: the daemon stopped answering');
+    const neverSent = PeerTransport.lost('never sent: the daemon stopped answering');
     const life = this.liveness.watch(upstream.address, {
       onSilent: () => (call.isSent() ? onSilent?.() : giveUp(neverSent)),
       onUnreachable: () => {
@@ -180,18 +180,22 @@
     context: AttemptContext,
     error: ExchangeError,
   ): Promise<Error> {
-    if (!error.sent) return new NotRunError(`never sent: ${error.message}`);
+    if (!error.sent) return PeerTransport.lost(`never sent: ${error.message}`);
     // What may run again is tried elsewhere sooner than its first attempt can be judged.
     if (context.idempotent) return new UnknownOutcomeError(error.message);
     return PeerTransport.verdict(await this.fence(upstream, context, true), error.message);
   }
 
   private static verdict(state: FenceReply, reason: string): Error {
-    if (state === 'forbidden') return new NotRunError(`${reason}; the attempt was fenced off`);
+    if (state === 'forbidden') return PeerTransport.lost(`${reason}; the attempt was fenced off`);
     const known = state === 'replaced' || state === 'unanswered' ? 'unresolved' : state;
     return new UnknownOutcomeError(`${reason}; the attempt is ${known}`);
   }
 
+  private static lost(reason: string): NotRunError {
+    return new NotRunError(reason, { lost: true });
+  }
+
   /** Tells an answer of the upstream from a refusal of its daemon. */
   private static judge(reply: ChannelReply): Answer {
     if (reply instanceof StreamedAnswer) return reply;
--- /dev/null
+++ b/src/request/lateCloses.test.ts
@@ -0,0 +1,56 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import ManualClock from '../../stand-in/ManualClock';
+import Call, { type CallServices, type CallTerms } from './Call';
+import CALLER_LEFT from './callerLeft';
+import CancelSource from './CancelSource';
+import NotRunError from './NotRunError';
+import type RetryBudget from './RetryBudget';
+import type { CallRequest, Upstream } from './Types';
+
+const LONG_TURN_MS = 800;
+const REQUEST = { method: 'GET', path: '/', headers: [], body: null } as unknown as CallRequest;
+const TERMS = {
+  route: { name: 'r', idempotent: true, retries: 1, objectiveMs: 60_000, timeoutMs: 60_000 },
+  service: { name: 's', slots: 1 },
+  retryBudget: 1,
+} as unknown as CallTerms;
+
+test('a call whose caller left in a long turn is not sent again after a refusal read in it', async () => {
+  const sent: string[] = [];
+  const cancel = new CancelSource();
+  const services = {
+    balancer: {
+      choose: ({ exclude }: { exclude: ReadonlySet<string> }) =>
+        ['full', 'spare']
+          .map((daemon) => ({ daemon }) as Upstream)
+          .find(({ daemon }) => !exclude.has(daemon)),
+      begin: () => undefined,
+      end: () => undefined,
+      latencyMs: () => undefined,
+      known: () => undefined,
+    },
+    transport: {
+      send: ({ daemon }: Upstream) => {
+        sent.push(daemon);
+        // The refusal is read ahead of the close of the caller's connection.
+        setImmediate(() => cancel.abort(CALLER_LEFT));
+        return Promise.reject(new NotRunError('the queue is full'));
+      },
+    },
+    clock: new ManualClock(),
+    lagMs: () => 0,
+    waitedMs: () => LONG_TURN_MS,
+    incarnation: () => 1,
+    nextAttempt: () => 1,
+    onAttempt: () => undefined,
+  } as unknown as CallServices;
+  const budget = { deposit: () => undefined, withdraw: () => true } as unknown as RetryBudget;
+  const times = { deadline: 60_000, objective: 60_000 };
+  const call = new Call(REQUEST, TERMS, services, budget, times, 0);
+  const error = await call.run(cancel).catch((thrown: Error) => thrown);
+  assert.equal(sent, ['full']);
+  assert.instance(error, NotRunError);
+});
+
+test.run();
