Close an upstream's connection whose bytes belong to no answer and never end

Seen by callers: nothing until their deadline, and a slot held as long, where an upstream sent blank lines, a reason, blanks in a header, interim answers or a chunk extension without end; behind a whole answer, blank lines were read for as long as the connection was kept (4 s idle), at full speed.

Cause: the HTTP client bounds the names and values of headers (16 KiB) only. Blanks and blank lines never reach its count, a reason isn't counted, interim answers start it anew and wind up the timer again, and chunk extensions have no bound at all.

Change: a meter of each connection counts what came since the last part of a body, before the client takes more; more than 64 KiB close it. Its error lets the client send what it hasn't sent elsewhere. Without the mark at each part of a body the test "a large body comes whole" fails, as it should.

--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -184,6 +184,7 @@
       answer = await exchange({
         dispatcher: connections.pool,
         endedInOrder: () => connections.endedInOrder(),
+        meterOfHead: () => connections.meterOfHead,
         origin: this.origin,
         request,
         headers: upstreamHeaders(request, context, this.instance, names, began),
--- a/src/request/UpstreamConnections.test.ts
+++ b/src/request/UpstreamConnections.test.ts
@@ -37,6 +37,7 @@
       bodyTimeoutMs: TIMEOUT_MS,
       signal: new CancelSource(),
       endedInOrder: () => connections.endedInOrder(),
+      meterOfHead: () => connections.meterOfHead,
     });
     let bytes = 0;
     const write = (chunk: Buffer) => {
--- a/src/request/UpstreamConnections.ts
+++ b/src/request/UpstreamConnections.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Pool } from 'undici';
 import type { Address } from '../common/Types';
+import ConnectionMeter from './ConnectionMeter';
 
 /** Bounds of the connections to one upstream. */
 export interface UpstreamConnectionsOptions {
@@ -12,6 +13,8 @@
   readonly keepAliveMs: number;
 }
 
+/** Most bytes of names and values in the head of an answer; as many as Node.js takes by default. */
+const MAX_HEADER_BYTES = 16 * 1024;
 /** An empty line; servers skip it before a request. */
 const PROBE = '\r\n';
 
@@ -31,6 +34,8 @@
 
   private ending: Socket | undefined;
 
+  private reading: ConnectionMeter | undefined;
+
   /**
    * @param address - Of the upstream.
    * @param options - Their bounds.
@@ -40,11 +45,13 @@
     this.pool = new Pool(`http://${address}`, {
       connections: options.connections,
       pipelining: 1,
+      maxHeaderSize: MAX_HEADER_BYTES,
       keepAliveTimeout: options.keepAliveMs,
       connect: (target, callback) =>
         connect(target, (...result) => {
           const socket = result[1];
           // The client adds its own listeners after these; both run within one emit.
+          if (socket) this.meter(socket);
           socket?.on('error', () => this.noteReset());
           socket?.on('end', () => this.noteEnd(socket));
           callback(...result);
@@ -67,6 +74,15 @@
     });
   }
 
+  /**
+   * Called where the client reports the head of an answer, in the same turn of the event loop.
+   *
+   * @returns The meter of the connection that brought it.
+   */
+  public get meterOfHead(): ConnectionMeter | undefined {
+    return this.reading;
+  }
+
   /** Closes them once what runs on them has ended. */
   public retire(): void {
     void this.pool.close();
@@ -77,6 +93,14 @@
     void this.pool.destroy();
   }
 
+  private meter(socket: Socket): void {
+    const meter = new ConnectionMeter(socket);
+    socket.on('readable', () => {
+      this.reading = meter;
+      meter.check();
+    });
+  }
+
   private noteReset(): void {
     this.resetting = true;
     process.nextTick(() => {
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
+import type ConnectionMeter from './ConnectionMeter';
 import ExchangeError from './ExchangeError';
 import StreamedAnswer from './StreamedAnswer';
 import type { CallRequest, CancelSignal } from './Types';
@@ -18,6 +19,8 @@
   readonly signal: CancelSignal;
   /** Whether the connection that ends with an answer just now was ended in order. */
   readonly endedInOrder: () => boolean | Promise<boolean>;
+  /** Meter of the connection that brings a head just now. */
+  readonly meterOfHead: () => ConnectionMeter | undefined;
 }
 
 /** Receives what the HTTP client reports of one request. */
@@ -30,6 +33,8 @@
 
   private controller: Dispatcher.DispatchController | undefined;
 
+  private meter: ConnectionMeter | undefined;
+
   public readonly abort = (): void => {
     this.cancelled = true;
     this.answer?.fail('aborted');
@@ -40,6 +45,7 @@
   public constructor(
     private readonly signal: CancelSignal,
     private readonly endedInOrder: Exchange['endedInOrder'],
+    private readonly meterOfHead: Exchange['meterOfHead'],
     private readonly resolve: (answer: StreamedAnswer) => void,
     private readonly reject: (error: ExchangeError) => void,
   ) {
@@ -61,17 +67,21 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (status < 200) return;
+    this.meter = this.meterOfHead();
+    this.meter?.mark();
     this.answer = new StreamedAnswer(status, headers, controller);
     this.answer.onceClosed(() => this.signal.removeEventListener('abort', this.abort));
     this.resolve(this.answer);
   }
 
   public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.meter?.mark();
     this.answer?.push(chunk);
   }
 
   public onResponseEnd(): void {
     const { answer } = this;
+    this.meter?.mark();
     if (!answer) return;
     // Only a body without a length ends with its connection.
     const { 'content-length': length, 'transfer-encoding': coding } = answer.headers;
@@ -102,9 +112,9 @@
  * @throws ExchangeError - There was no answer; says whether the request may have been received.
  */
 export default function exchange(options: Exchange): Promise<StreamedAnswer> {
-  const { dispatcher, request, signal } = options;
+  const { dispatcher, request, signal, endedInOrder, meterOfHead } = options;
   return new Promise((resolve, reject) => {
-    const handler = new ExchangeHandler(signal, options.endedInOrder, resolve, reject);
+    const handler = new ExchangeHandler(signal, endedInOrder, meterOfHead, resolve, reject);
     dispatcher.dispatch(
       {
         origin: options.origin,
