Read the body of a refusal for 1 s and 64 KiB at most

Seen by callers: nothing at once, the refusal was passed on. But the connection was read until the upstream closed it, at any speed, and was lost to other calls.

Cause: `discard` reads the rest of an unwanted answer so that its connection can be used again, however much that is. No deadline ends it, as the call has gone elsewhere by then.

Failed before (LocalUpstream.endless.test.ts, 503 with the not-executed header): no length, chunks, a length of, slow: NotRunError, left open, slot free

Change: what isn't read within MAX_DISCARD_MS and MAX_DISCARDED_BYTES is given up with its connection. The losers of hedges and failures that are tried elsewhere are disposed of at once already.

After: NotRunError, closed, slot free, next 200 whole 2 for all four; 5 of 5 tests of the file pass.

--- a/src/request/LocalUpstream.endless.test.ts
+++ b/src/request/LocalUpstream.endless.test.ts
@@ -19,6 +19,7 @@
 const SHORT_MS = 200;
 const PIECE_BYTES = 32 * 1024;
 const CHUNKED = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+const REFUSED = `HTTP/1.1 503 Full\r\n${OWN_HEADER_NAMES.notExecuted}: 1\r\n`;
 const WHOLE = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
 
 /** What an upstream sends in place of an answer: a beginning, then the same again and again. */
@@ -236,6 +237,23 @@
   );
 });
 
+test('a refusal whose body has no end is a refusal, and its connection is closed', async () => {
+  const rows = await meetAll({
+    'no length': { head: `${REFUSED}\r\n`, endless: 'x' },
+    chunks: { head: `${REFUSED}transfer-encoding: chunked\r\n\r\n`, endless: '1\r\nx\r\n' },
+    'a length': { head: `${REFUSED}content-length: 99999999999\r\n\r\n`, endless: 'x' },
+    slow: { head: `${REFUSED}\r\n`, endless: 'x', pauseMs: 5 },
+  });
+  const ended = 'NotRunError, closed, slot free, next 200 whole 2';
+  assert.snapshot(
+    rows,
+    `no length: ${ended}
+chunks: ${ended}
+a length: ${ended}
+slow: ${ended}`,
+  );
+});
+
 test('a chunk or a trailer without end breaks its answer off', async () => {
   const rows = await meetAll({
     'a chunk extension': { head: `${CHUNKED}1;`, endless: 'x' },
--- a/src/request/StreamedAnswer.ts
+++ b/src/request/StreamedAnswer.ts
@@ -3,6 +3,10 @@
 import type { Answer, AnswerSink, UpstreamLoad } from './Types';
 
 const MAX_BUFFERED_BYTES = 64 * 1024;
+/** Most bytes of an unwanted body that are read to keep its connection; a new one costs less than more. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+/** Longest time, in milliseconds, for which they are awaited. */
+const MAX_DISCARD_MS = 1_000;
 
 /** Steers where the body of an answer comes from. */
 export interface BodySource {
@@ -61,9 +65,22 @@
     });
   }
 
-  /** Reads the rest and drops it, so that its connection can be used again. */
+  /**
+   * Reads the rest and drops it, so that its connection can be used again. One that doesn't end soon is
+   * given up with its connection.
+   */
   public discard(): void {
-    void this.pipe({ write: () => true, onDrain: () => undefined }).catch(() => undefined);
+    let bytes = 0;
+    const write = (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > MAX_DISCARDED_BYTES) this.dispose();
+      return true;
+    };
+    if (this.state === 'open') {
+      const timer = setTimeout(() => this.dispose(), MAX_DISCARD_MS);
+      this.onceClosed(() => clearTimeout(timer));
+    }
+    void this.pipe({ write, onDrain: () => undefined }).catch(() => undefined);
   }
 
   public dispose(): void {
