End a body without end soon after the time of its call

Seen by callers: a body that went on for as long as they stayed. Its slot was held all the while, also where the caller read nothing, so that other calls to the upstream waited in vain.

Cause: a call's time ends with the head of its answer. From there on only a pause of 30 s in what the upstream sends ended a body, and none does while a slow caller holds it back.

Failed before (LocalUpstream.endless.test.ts, calls with 200 ms): no length, chunks, slow ones, slow trailers, a caller that reads nothing: held, left open, slot held, next held

Change: the daemon beside the upstream, which knows the slot, gives the answer up.

--- a/src/request/LocalUpstream.endless.test.ts
+++ b/src/request/LocalUpstream.endless.test.ts
@@ -19,6 +19,7 @@
 const SHORT_MS = 200;
 const PIECE_BYTES = 32 * 1024;
 const CHUNKED = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+const UNFRAMED = 'HTTP/1.1 200 OK\r\n\r\n';
 const REFUSED = `HTTP/1.1 503 Full\r\n${OWN_HEADER_NAMES.notExecuted}: 1\r\n`;
 const WHOLE = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
 
@@ -29,6 +30,8 @@
   /** Pauses between two pieces, in milliseconds; without it they come as fast as they are read. */
   readonly pauseMs?: number;
   readonly allowedMs?: number;
+  /** Whether the caller reads the body; it does by default. */
+  readonly reads?: boolean;
   /** Pieces after which it does end. */
   readonly pieces?: number;
   /** What follows them. */
@@ -118,7 +121,7 @@
 }
 
 /** Takes a body as a caller does that reads a little at a time. */
-async function bodyOf(answer: Answer): Promise<string> {
+async function bodyOf(answer: Answer, reads: boolean): Promise<string> {
   let bytes = 0;
   let unread = 0;
   const write = (chunk: Buffer) => {
@@ -127,6 +130,7 @@
     return unread < PIECE_BYTES;
   };
   const onDrain = (resume: () => void) => {
+    if (!reads) return;
     setImmediate(() => {
       unread = 0;
       resume();
@@ -142,13 +146,18 @@
   return Promise.race([what, delay(PATIENCE_MS, otherwise)]);
 }
 
-async function call(upstream: LocalUpstream, number: number, allowedMs: number): Promise<string> {
+async function call(
+  upstream: LocalUpstream,
+  number: number,
+  allowedMs: number,
+  reads = true,
+): Promise<string> {
   const cancel = new CancelSource();
   const timer = setTimeout(() => cancel.abort('the deadline passed'), allowedMs);
   try {
     const answer = await upstream.run(REQUEST, contextOf(number, allowedMs), cancel);
     clearTimeout(timer);
-    return `${answer.status} ${await bodyOf(answer)}`;
+    return `${answer.status} ${await bodyOf(answer, reads)}`;
   } catch (error) {
     return (error as Error).name;
   } finally {
@@ -175,7 +184,7 @@
     },
   });
   try {
-    const first = await within(call(upstream, 1, fault.allowedMs ?? AMPLE_MS), 'held');
+    const first = await within(call(upstream, 1, fault.allowedMs ?? AMPLE_MS, fault.reads), 'held');
     const closed = await within(server.closed, 'left open');
     const slots = upstream.counts.running === 0 ? 'slot free' : 'slot held';
     const next = await within(call(upstream, 2, AMPLE_MS), 'held');
@@ -254,6 +263,40 @@
   );
 });
 
+test('a body without end is broken off soon after the time of its call', async () => {
+  const rows = await meetAll({
+    'no length': { head: UNFRAMED, endless: 'x', allowedMs: SHORT_MS },
+    chunks: { head: CHUNKED, endless: '1\r\nx\r\n', allowedMs: SHORT_MS },
+    'slow, no length': { head: UNFRAMED, endless: 'x', ...slow },
+    'slow chunks': { head: CHUNKED, endless: '1\r\nx\r\n', ...slow },
+    'slow trailers': { head: `${CHUNKED}0\r\n`, endless: 'x: y\r\n', ...slow },
+    'a caller that reads nothing': {
+      head: UNFRAMED,
+      endless: 'x',
+      allowedMs: SHORT_MS,
+      reads: false,
+    },
+  });
+  const ended = '200 broken, closed, slot free, next 200 whole 2';
+  assert.snapshot(
+    rows,
+    `no length: ${ended}
+chunks: ${ended}
+slow, no length: ${ended}
+slow chunks: ${ended}
+slow trailers: ${ended}
+a caller that reads nothing: ${ended}`,
+  );
+});
+
+test('a body of a declared length comes whole also after the time of its call', async () => {
+  const part = 'x'.repeat(PIECE_BYTES);
+  const bytes = 60 * part.length;
+  const head = `HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: ${bytes}\r\n\r\n`;
+  const rows = await meetAll({ late: { head, endless: part, pieces: 60, ...slow } });
+  assert.snapshot(rows, 'late: 200 whole 1966080, closed, slot free, next 200 whole 2');
+});
+
 test('a chunk or a trailer without end breaks its answer off', async () => {
   const rows = await meetAll({
     'a chunk extension': { head: `${CHUNKED}1;`, endless: 'x' },
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -2,6 +2,7 @@
 import Admission, { type Release, type UpstreamLimits } from './Admission';
 import type AttemptRegistry from './AttemptRegistry';
 import { upstreamHeaders } from './callHeaders';
+import endLateBody from './endLateBody';
 import exchange from './exchange';
 import ExchangeError from './ExchangeError';
 import NotRunError from './NotRunError';
@@ -206,6 +207,7 @@
       release();
       this.close();
     });
+    endLateBody(answer, context.deadline - clock.now(), () => this.noteGivenUp(answer, context));
     return answer;
   }
 
@@ -259,6 +261,16 @@
     }
   }
 
+  private noteGivenUp(answer: StreamedAnswer, { route, id }: AttemptContext): void {
+    this.noteResult(true);
+    this.services.logger.log('Gave up an answer that went on after its time.', {
+      attempt: `${id.number}.${id.daemon}`,
+      route,
+      receivedBytes: answer.receivedBytes,
+      declaredBytes: answer.headers['content-length'],
+    });
+  }
+
   /** Leaves connections that may have gone silent; what runs on them goes on. */
   private renewConnections(): void {
     this.connections.retire();
--- a/src/request/StreamedAnswer.ts
+++ b/src/request/StreamedAnswer.ts
@@ -22,6 +22,9 @@
 export default class StreamedAnswer implements Answer {
   public load: UpstreamLoad | undefined;
 
+  /** Size of the parts of the body that came so far. */
+  public receivedBytes = 0;
+
   private chunks: Buffer[] = [];
 
   private bufferedBytes = 0;
@@ -42,6 +45,11 @@
     private readonly source: BodySource,
   ) {}
 
+  /** Whether the body is complete, broken or given up. */
+  public get ended(): boolean {
+    return this.state !== 'open';
+  }
+
   /** @param closed - Called once, when the body is complete, broken or given up. */
   public onceClosed(closed: () => void): void {
     if (this.state === 'open') this.closed.push(closed);
@@ -76,7 +84,7 @@
       if (bytes > MAX_DISCARDED_BYTES) this.dispose();
       return true;
     };
-    if (this.state === 'open') {
+    if (!this.ended) {
       const timer = setTimeout(() => this.dispose(), MAX_DISCARD_MS);
       this.onceClosed(() => clearTimeout(timer));
     }
@@ -91,6 +99,7 @@
 
   /** @param chunk - Next part of the body. */
   public push(chunk: Buffer): void {
+    this.receivedBytes += chunk.length;
     if (!this.sink) {
       this.chunks.push(chunk);
       this.bufferedBytes += chunk.length;
