Pass the parts of a body on together that one callback brings

Seen by callers: an upstream that sent chunks of one byte without end held up the daemon beside it for 2 s at a time; the other daemon then took it for lost, and every call between the two ended as unknown. The daemon's memory grew to 1.3 GB in one trial; 256 MB are its limit.

Cause: each part made a frame of its own on the channel, or a write of its own to the caller, and a read of 64 KiB brings eleven thousand of them. The window counts the bytes of bodies, of which there were few. Besides, each part that came after a slow caller had said "wait" added a listener of its own.

Change: parts of one callback are passed on as one, and a caller that is slow is waited for once. The meter of the connection is marked once a callback too.

What remains: parsing so many chunks takes the daemon's whole processor until the calls' time ends (lag of 0.2 to 0.45 s with 20 such calls).

--- a/src/request/StreamedAnswer.ts
+++ b/src/request/StreamedAnswer.ts
@@ -35,6 +35,9 @@
 
   private sink: AnswerSink | undefined;
 
+  /** Whether the sink has yet to say that more can be written. */
+  private heldBack = false;
+
   private settle: { resolve: () => void; reject: (error: Error) => void } | undefined;
 
   private readonly closed: (() => void)[] = [];
@@ -99,6 +102,7 @@
 
   /** @param chunk - Next part of the body. */
   public push(chunk: Buffer): void {
+    if (this.ended) return;
     this.receivedBytes += chunk.length;
     if (!this.sink) {
       this.chunks.push(chunk);
@@ -106,9 +110,13 @@
       if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.source.pause();
       return;
     }
-    if (this.sink.write(chunk)) return;
+    if (this.sink.write(chunk) || this.heldBack) return;
+    this.heldBack = true;
     this.source.pause();
-    this.sink.onDrain(() => this.source.resume());
+    this.sink.onDrain(() => {
+      this.heldBack = false;
+      this.source.resume();
+    });
   }
 
   /** The body is complete. */
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -35,6 +35,9 @@
 
   private meter: ConnectionMeter | undefined;
 
+  /** What one callback of the connection brought of the body. */
+  private parts: Buffer[] = [];
+
   public readonly abort = (): void => {
     this.cancelled = true;
     this.answer?.fail('aborted');
@@ -75,13 +78,12 @@
   }
 
   public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.meter?.mark();
-    this.answer?.push(chunk);
+    if (this.parts.push(chunk) === 1) process.nextTick(() => this.flush());
   }
 
   public onResponseEnd(): void {
+    this.flush();
     const { answer } = this;
-    this.meter?.mark();
     if (!answer) return;
     // Only a body without a length ends with its connection.
     const { 'content-length': length, 'transfer-encoding': coding } = answer.headers;
@@ -89,6 +91,14 @@
     else void this.endUnframed(answer);
   }
 
+  /** Passes parts on together: each one costs the same on its way, and they may be a byte long. */
+  private flush(): void {
+    const { parts } = this;
+    this.parts = [];
+    this.meter?.mark();
+    if (parts.length > 0) this.answer?.push(parts.length > 1 ? Buffer.concat(parts) : parts[0]!);
+  }
+
   private async endUnframed(answer: StreamedAnswer): Promise<void> {
     if (await this.endedInOrder()) answer.complete();
     else answer.fail('the connection was reset');
@@ -96,6 +106,7 @@
 
   public onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     this.signal.removeEventListener('abort', this.abort);
+    this.flush();
     if (this.answer) this.answer.fail(error.message);
     else {
       const { code } = error as NodeJS.ErrnoException;
