--- a/src/request/LocalUpstream.endless.test.ts
+++ b/src/request/LocalUpstream.endless.test.ts
@@ -30,8 +30,8 @@
   /** Pauses between two pieces, in milliseconds; without it they come as fast as they are read. */
   readonly pauseMs?: number;
   readonly allowedMs?: number;
-  /** Whether the caller reads the body; it does by default. */
-  readonly reads?: boolean;
+  /** What the caller does with the body; by default it reads. */
+  readonly caller?: 'waits' | 'leaves';
   /** Pieces after which it does end. */
   readonly pieces?: number;
   /** What follows them. */
@@ -121,7 +121,7 @@
 }
 
 /** Takes a body as a caller does that reads a little at a time. */
-async function bodyOf(answer: Answer, reads: boolean): Promise<string> {
+async function bodyOf(answer: Answer, caller: Fault['caller']): Promise<string> {
   let bytes = 0;
   let unread = 0;
   const write = (chunk: Buffer) => {
@@ -130,12 +130,13 @@
     return unread < PIECE_BYTES;
   };
   const onDrain = (resume: () => void) => {
-    if (!reads) return;
+    if (caller === 'waits') return;
     setImmediate(() => {
       unread = 0;
       resume();
     });
   };
+  if (caller === 'leaves') setImmediate(() => answer.dispose());
   return answer.pipe({ write, onDrain }).then(
     () => `whole ${bytes}`,
     () => 'broken',
@@ -150,14 +151,14 @@
   upstream: LocalUpstream,
   number: number,
   allowedMs: number,
-  reads = true,
+  caller?: Fault['caller'],
 ): Promise<string> {
   const cancel = new CancelSource();
   const timer = setTimeout(() => cancel.abort('the deadline passed'), allowedMs);
   try {
     const answer = await upstream.run(REQUEST, contextOf(number, allowedMs), cancel);
     clearTimeout(timer);
-    return `${answer.status} ${await bodyOf(answer, reads)}`;
+    return `${answer.status} ${await bodyOf(answer, caller)}`;
   } catch (error) {
     return (error as Error).name;
   } finally {
@@ -184,7 +185,10 @@
     },
   });
   try {
-    const first = await within(call(upstream, 1, fault.allowedMs ?? AMPLE_MS, fault.reads), 'held');
+    const first = await within(
+      call(upstream, 1, fault.allowedMs ?? AMPLE_MS, fault.caller),
+      'held',
+    );
     const closed = await within(server.closed, 'left open');
     const slots = upstream.counts.running === 0 ? 'slot free' : 'slot held';
     const next = await within(call(upstream, 2, AMPLE_MS), 'held');
@@ -274,8 +278,9 @@
       head: UNFRAMED,
       endless: 'x',
       allowedMs: SHORT_MS,
-      reads: false,
+      caller: 'waits',
     },
+    'a caller that leaves': { head: CHUNKED, endless: '1\r\nx\r\n', caller: 'leaves' },
   });
   const ended = '200 broken, closed, slot free, next 200 whole 2';
   assert.snapshot(
@@ -285,7 +290,8 @@
 slow, no length: ${ended}
 slow chunks: ${ended}
 slow trailers: ${ended}
-a caller that reads nothing: ${ended}`,
+a caller that reads nothing: ${ended}
+a caller that leaves: ${ended}`,
   );
 });
 
