--- a/src/request/LocalUpstream.endless.test.ts
+++ b/src/request/LocalUpstream.endless.test.ts
@@ -178,6 +178,7 @@
     registry: new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock),
     names: OWN_HEADER_NAMES,
     lagMs: () => 0,
+    waitedMs: () => 0,
     clock,
     logger: { log: () => undefined },
     onUnreachable: () => {
