Leave out the metrics library's timer, which woke each process a hundred times a second

Cause: collectDefaultMetrics measures the event loop's lag by a timer of 10 ms, in every daemon, busy or idle. Found by counting switches of an idle daemon (113 a second) against its own timers (about 50 a second by async_hooks). The lag is told by loop_lag_seconds already, so the library's is removed.

Ruled out: a coarser period alone, as the library's figures contain the period and would read as lag.

--- a/src/process/DaemonMetrics.ts
+++ b/src/process/DaemonMetrics.ts
@@ -5,6 +5,13 @@
   0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10,
 ];
 const MS_PER_SECOND = 1_000;
+/** Metrics of the library that `loop_lag_seconds` stands for. */
+const LIBRARY_LAG = 'eventloop_lag';
+/**
+ * The library measures the event loop's lag by a timer, which would wake the process a hundred times a
+ * second; a day in milliseconds leaves it without effect.
+ */
+const LIBRARY_LAG_EVERY_MS = 86_400_000;
 
 /** Values that are read when the metrics are scraped. */
 export interface Readings {
@@ -58,7 +65,14 @@
   /** @param readings - Values read at each scrape. */
   public constructor(readings: Readings) {
     const { registry } = this;
-    collectDefaultMetrics({ register: registry, prefix: 'azurestream_' });
+    collectDefaultMetrics({
+      register: registry,
+      prefix: 'azurestream_',
+      eventLoopMonitoringPrecision: LIBRARY_LAG_EVERY_MS,
+    });
+    for (const { name } of registry.getMetricsAsArray()) {
+      if (name.includes(LIBRARY_LAG)) registry.removeSingleMetric(name);
+    }
     this.calls = new Counter({
       name: 'azurestream_calls_total',
       help: 'Calls by outcome.',
