Import zod so that the bundle leaves out what isn't used

Cause: `import { z }` keeps the whole namespace, with the texts of forty languages; a start spends 28 % of its processor time compiling the bundle (profile of `--version`). A start costs each of the daemons that restart.

Bundle 2,188,244 to 1,744,533 bytes. Eight starts of `--version`, old and new in turn three times, user and system time: 3.54, 3.73, 3.35 s before, 3.33, 2.99, 3.28 s after; a start 442 to 400 ms on average.

Seen and left: meow loads normalize-package-data and its licence tables (25 to 40 ms a start), and undici its WebSocket, cookies, cache and HTTP/2 (50 ms).

--- a/src/connection/HttpLog.ts
+++ b/src/connection/HttpLog.ts
@@ -1,5 +1,5 @@
 import { Agent, request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Address, Disposable, Offset } from '../common/Types';
 import withLinkedSignal from '../common/withLinkedSignal';
 import LogExpiredError from './LogExpiredError';
--- a/src/connection/LogContacts.ts
+++ b/src/connection/LogContacts.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Address, DaemonId, Logger, Offset } from '../common/Types';
 import type { Contact, ContactStore, Log } from './Types';
 
--- a/src/connection/messageSchema.ts
+++ b/src/connection/messageSchema.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type {
   Address,
   AttemptNumber,
--- a/src/process/announcementSchema.ts
+++ b/src/process/announcementSchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Address, ServiceName } from '../common/Types';
 import type { Announcement } from './Types';
 
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -5,7 +5,7 @@
  */
 import { readFileSync } from 'node:fs';
 import { parse, TomlError } from 'smol-toml';
-import { z } from 'zod';
+import * as z from 'zod';
 import { DURATION_EXPECTED, parseDuration } from '../common/parseDuration';
 import type { Address, DaemonId, FileName, ServiceName, ZoneName } from '../common/Types';
 import { formatFault, schemaFaults } from '../version/faults';
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -5,7 +5,7 @@
  *
  * @packageDocumentation
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { DURATION_EXPECTED, parseDuration } from '../common/parseDuration';
 
 /** Number of the schema that this release reads and writes. */
--- a/src/version/faults.ts
+++ b/src/version/faults.ts
@@ -1,4 +1,4 @@
-import type { z } from 'zod';
+import type * as z from 'zod';
 import type { FileName } from '../common/Types';
 import type { Fault } from './Types';
 
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -1,5 +1,5 @@
 import { parse, TomlError } from 'smol-toml';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import type { FileName, RouteName, ServiceName } from '../common/Types';
 import {
   DEFAULTS,
--- a/src/version/recordSchema.ts
+++ b/src/version/recordSchema.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Digest, FileName, Offset, PublicationId, VersionNumber } from '../common/Types';
 import type { ConfigurationRecord, Delta } from './Types';
 
