--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -27,6 +27,9 @@
 const CHANGE_EVERY_MS = 500;
 const FLIPS = 40;
 const FLIP_EVERY_MS = 250;
+/** Flips in quick succession, as when many upstreams are released at once. */
+const STORM_FLIPS = 100;
+const STORM_FLIP_EVERY_MS = 50;
 const MS_PER_SECOND = 1_000;
 
 type Stats = Extract<HostReply, { kind: 'stats' }>;
@@ -118,6 +121,16 @@
     };
   }
 
+  /** Lets upstreams change their state one after the other. */
+  public async flip(count: number, everyMs: number): Promise<void> {
+    for (let flip = 0; flip < count; flip += 1) {
+      const index = Math.floor(flip / 2);
+      const state = flip % 2 === 0 ? 'serving' : 'warming';
+      this.hosts[index % HOSTS]!.send({ kind: 'flip', index, state });
+      await delay(everyMs);
+    }
+  }
+
   public publisher(): { publisher: Publisher; log: HttpLog } {
     const log = new HttpLog(this.logAddress as Address, '', new SocketMeter());
     return { publisher: new Publisher(log, () => Promise.resolve(undefined)), log };
@@ -150,6 +163,22 @@
   };
 }
 
+/** What one event costs a daemon, beyond what passes anyway. */
+function perEvent(
+  before: Reading,
+  after: Reading,
+  quiet: ReturnType<typeof rates>,
+  events: number,
+) {
+  const seconds = (after.at - before.at) / MS_PER_SECOND;
+  const bytes = (after.bytes - before.bytes) / SIZE - quiet.bytesPerSecond * seconds;
+  const cpuMs = (after.cpuMs - before.cpuMs) / SIZE - quiet.cpuPercent * 10 * seconds;
+  return {
+    bytes: Math.round(bytes / events),
+    cpuMs: Number((cpuMs / events).toFixed(2)),
+  };
+}
+
 function exampleFolder() {
   return ['10-defaults.toml', '20-services.toml', '30-routes.toml'].map((name) => ({
     name: name as FileName,
@@ -200,19 +229,11 @@
       CHANGES;
 
     const churnBefore = await fleet.read();
-    for (let flip = 0; flip < FLIPS; flip += 1) {
-      const state = flip % 2 === 0 ? 'serving' : 'warming';
-      fleet.hosts[Math.floor(flip / 2) % HOSTS]!.send({
-        kind: 'flip',
-        index: Math.floor(flip / 2),
-        state,
-      });
-      await delay(FLIP_EVERY_MS);
-    }
-    const churnAfter = await fleet.read();
-    const churnSeconds = (churnAfter.at - churnBefore.at) / MS_PER_SECOND;
-    const perFlip =
-      ((churnAfter.bytes - churnBefore.bytes) / SIZE - quiet.bytesPerSecond * churnSeconds) / FLIPS;
+    await fleet.flip(FLIPS, FLIP_EVERY_MS);
+    const churn = perEvent(churnBefore, await fleet.read(), quiet, FLIPS);
+    const flipStormBefore = await fleet.read();
+    await fleet.flip(STORM_FLIPS, STORM_FLIP_EVERY_MS);
+    const flipStorm = perEvent(flipStormBefore, await fleet.read(), quiet, STORM_FLIPS);
 
     const [victim, ...survivors] = fleet.hosts;
     const { version } = publisher.head!;
@@ -248,7 +269,9 @@
       },
       bytesPerChange: Math.round(perChange),
       cpuMsPerChange: Number(cpuPerChange.toFixed(2)),
-      bytesPerFlip: Math.round(perFlip),
+      bytesPerFlip: churn.bytes,
+      cpuMsPerFlip: churn.cpuMs,
+      flipStorm,
       storm,
       residentMbPerDaemonShared: Number((quietAfter.residentBytes / SIZE / 2 ** 20).toFixed(1)),
     };
--- /dev/null
+++ b/bench/manyPeers.ts
@@ -0,0 +1,210 @@
+/**
+ * Processor time of a fleet in which each daemon is a process with an upstream beside it and talks
+ * to all others: at the start, idle, under calls spread over all upstreams, under changes of the
+ * configuration and of members.
+ * Usage: `manyPeers.ts [DAEMONS] [CALLS_PER_SECOND] [SECONDS] [PROFILE_FOLDER]`. With a folder, four
+ * daemons write a profile to it, and `phases.json` tells when each phase was (monotonic microseconds).
+ *
+ * @packageDocumentation
+ */
+import { cpSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { Agent, request } from 'undici';
+import Fleet, { eventually, type DaemonReady, type FleetProcess } from '../stand-in/Fleet';
+import UpstreamServer from '../stand-in/UpstreamServer';
+
+const SIZE = Number(process.argv[2] ?? 88);
+const RATE = Number(process.argv[3] ?? 300);
+const SECONDS = Number(process.argv[4] ?? 10);
+const PROFILES = process.argv[5];
+const PROFILED = 4;
+const ZONES = ['coq', 'rogers', 'kootenay', 'pine'];
+/** Services by turns, so that the third has nearly half of the upstreams. */
+const SERVICES = ['stock', 'records', 'booking', 'records'];
+const PATHS = ['/stock/x', '/reservations/x', '/records/x', '/stock/x'];
+/** Longer than `calls.quiet`, so that daemons which await answers are silent meanwhile. */
+const WORK_MS = 700;
+const STARTED_AT_ONCE = 8;
+const SEEDS = 3;
+const CHANGES = 8;
+const FLIPS = 8;
+const SPACING_MS = 500;
+const MS_PER_TICK = 10;
+const NS_PER_US = 1_000n;
+
+interface Phase {
+  readonly name: string;
+  readonly fromUs: number;
+  readonly untilUs: number;
+  /** Processor time of all daemons, in milliseconds. */
+  readonly cpuMs: number;
+}
+
+function cpuMs(daemons: readonly FleetProcess<unknown>[]): number {
+  return daemons.reduce((sum, { child }) => {
+    const fields = readFileSync(`/proc/${child.pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
+    return sum + (Number(fields[11]) + Number(fields[12])) * MS_PER_TICK;
+  }, 0);
+}
+
+function nowUs(): number {
+  return Number(process.hrtime.bigint() / NS_PER_US);
+}
+
+class Bench {
+  public readonly phases: Phase[] = [];
+
+  public readonly daemons: FleetProcess<DaemonReady>[] = [];
+
+  public readonly upstreams: UpstreamServer[] = [];
+
+  public readonly statuses = new Map<number, number>();
+
+  private readonly agent = new Agent({ connections: 8, pipelining: 1 });
+
+  public constructor(private readonly fleet: Fleet) {}
+
+  public async phase(name: string, run: () => Promise<void>): Promise<void> {
+    const fromUs = nowUs();
+    const before = cpuMs(this.daemons);
+    await run();
+    this.phases.push({ name, fromUs, untilUs: nowUs(), cpuMs: cpuMs(this.daemons) - before });
+  }
+
+  public async startAll(): Promise<void> {
+    const seeds: string[] = [];
+    for (let first = 0; first < SIZE; first += STARTED_AT_ONCE) {
+      const batch = Array.from({ length: Math.min(STARTED_AT_ONCE, SIZE - first) }, (_, index) =>
+        this.fleet.startDaemon({
+          name: `d${first + index}`,
+          zone: ZONES[(first + index) % ZONES.length]!,
+          seeds,
+          nodeArguments: Bench.nodeArguments(first + index),
+          extra: {
+            peers: 'heartbeat = "1s"\nsuspicion = "3s"',
+            calls: 'connect = "400ms"\nquiet = "400ms"\nsilence = "5s"',
+          },
+        }),
+      );
+      const started = await Promise.all(batch);
+      this.daemons.push(...started);
+      if (seeds.length === 0) {
+        seeds.push(...started.slice(0, SEEDS).map(({ ready }) => ready.listening.peers));
+      }
+    }
+  }
+
+  public async announceAll(): Promise<void> {
+    await Promise.all(this.daemons.map((_, index) => this.announce(index)));
+  }
+
+  public async announce(index: number): Promise<void> {
+    const upstream = new UpstreamServer({
+      service: SERVICES[index % SERVICES.length]!,
+      daemon: this.daemons[index]!.ready.listening.control,
+      workMs: WORK_MS,
+    });
+    this.upstreams[index] = upstream;
+    await upstream.start();
+  }
+
+  public async whenAllKnow(): Promise<void> {
+    await eventually('all know all', async () => {
+      // One after the other, as the question costs the daemons time.
+      for (const { ready } of this.daemons) {
+        const { body } = await request(`http://${ready.listening.control}/members`);
+        if (((await body.json()) as unknown[]).length < SIZE) return false;
+      }
+      return true;
+    });
+  }
+
+  /** Open loop: a call each period to the next daemon, whatever became of those before. */
+  public async call(seconds: number): Promise<void> {
+    const open = new Set<Promise<void>>();
+    const began = performance.now();
+    for (let number = 0; number < RATE * seconds; number += 1) {
+      const waitMs = began + (number * 1_000) / RATE - performance.now();
+      if (waitMs > 1) await delay(waitMs);
+      const daemon = this.daemons[(number * 7) % SIZE]!;
+      const url = `http://${daemon.ready.listening.calls}${PATHS[number % PATHS.length]}?bytes=1500`;
+      const call = this.ask(url).finally(() => open.delete(call));
+      open.add(call);
+    }
+    await Promise.all(open);
+  }
+
+  public async dispose(): Promise<void> {
+    await this.agent.destroy();
+    for (const upstream of this.upstreams) upstream.dispose();
+    await Promise.all(this.daemons.map((daemon) => Fleet.end(daemon)));
+  }
+
+  private async ask(url: string): Promise<void> {
+    const { statusCode, body } = await request(url, { dispatcher: this.agent });
+    await body.dump();
+    this.statuses.set(statusCode, (this.statuses.get(statusCode) ?? 0) + 1);
+  }
+
+  private static nodeArguments(index: number): string[] {
+    if (!PROFILES || index < SIZE - PROFILED) return ['--max-semi-space-size=16'];
+    return ['--max-semi-space-size=16', '--cpu-prof', `--cpu-prof-dir=${PROFILES}`];
+  }
+}
+
+async function main(): Promise<void> {
+  const fleet = new Fleet();
+  const bench = new Bench(fleet);
+  const folder = fleet.path('folder');
+  const publish = () => fleet.command(['publish', folder, '--log', fleet.log]);
+  try {
+    await fleet.startLog();
+    cpSync('examples/association', folder, { recursive: true });
+    await publish();
+    await bench.phase('start', async () => {
+      await bench.startAll();
+      await bench.whenAllKnow();
+    });
+    await bench.phase('announce', async () => {
+      await bench.announceAll();
+      await delay(5_000);
+    });
+    await bench.phase('idle', () => delay(SECONDS * 1_000));
+    await bench.phase('first calls', () => bench.call(SECONDS));
+    await bench.phase('calls', () => bench.call(SECONDS));
+    await bench.phase('idle with channels', () => delay(SECONDS * 1_000));
+    await bench.phase('versions', async () => {
+      for (let change = 0; change < CHANGES; change += 1) {
+        writeFileSync(join(folder, '40-change.toml'), `# change ${change}\n`);
+        await publish();
+        await delay(SPACING_MS);
+      }
+    });
+    await bench.phase('members', async () => {
+      for (let flip = 0; flip < FLIPS; flip += 1) {
+        await bench.upstreams[flip]!.stop();
+        await bench.announce(flip);
+        await delay(SPACING_MS);
+      }
+    });
+  } finally {
+    await bench.dispose();
+    await fleet.dispose();
+  }
+  console.table(
+    bench.phases.map(({ name, fromUs, untilUs, cpuMs: ms }) => ({
+      phase: name,
+      seconds: Number(((untilUs - fromUs) / 1e6).toFixed(1)),
+      cpuMs: ms,
+      perDaemonAndSecondMs: Number((ms / SIZE / ((untilUs - fromUs) / 1e6)).toFixed(2)),
+    })),
+  );
+  process.stdout.write(`answers ${JSON.stringify([...bench.statuses])}\n`);
+  const result = { daemons: SIZE, rate: RATE, phases: bench.phases };
+  mkdirSync('bench/results', { recursive: true });
+  writeFileSync(`bench/results/manyPeers-${SIZE}.json`, `${JSON.stringify(result, null, 1)}\n`);
+  if (PROFILES) writeFileSync(join(PROFILES, 'phases.json'), JSON.stringify(bench.phases));
+}
+
+await main();
--- a/stand-in/Fleet.ts
+++ b/stand-in/Fleet.ts
@@ -35,6 +35,8 @@
   readonly seeds?: readonly string[];
   /** Addresses of an earlier run, to take its place. */
   readonly addresses?: DaemonReady['listening'];
+  /** Arguments of the runtime. */
+  readonly nodeArguments?: readonly string[];
 }
 
 /** Result of a command. */
@@ -81,7 +83,11 @@
   public async startDaemon(options: DaemonOptions): Promise<FleetProcess<DaemonReady>> {
     const file = this.path(`${options.name}.toml`);
     writeFileSync(file, this.settings(options));
-    return this.start<DaemonReady>('azurestream', ['run', '--settings', file]);
+    return this.start<DaemonReady>(
+      'azurestream',
+      ['run', '--settings', file],
+      options.nodeArguments,
+    );
   }
 
   /**
@@ -171,8 +177,13 @@
       .join('\n');
   }
 
-  private spawn(program: string, args: readonly string[]): ChildProcess {
-    const child = spawn(process.execPath, [`${PROGRAMS}/${program}.cjs`, ...args], {
+  private spawn(
+    program: string,
+    args: readonly string[],
+    nodeArguments: readonly string[] = [],
+  ): ChildProcess {
+    const words = [...nodeArguments, `${PROGRAMS}/${program}.cjs`, ...args];
+    const child = spawn(process.execPath, words, {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.children.add(child);
@@ -183,8 +194,9 @@
   private async start<Ready>(
     program: string,
     args: readonly string[],
+    nodeArguments: readonly string[] = [],
   ): Promise<FleetProcess<Ready>> {
-    const child = this.spawn(program, args);
+    const child = this.spawn(program, args, nodeArguments);
     let problems = '';
     child.stderr!.on('data', (chunk: Buffer) => {
       problems = `${problems}${chunk.toString()}`.slice(-4_000);
