Take a fraction as the slack of retries, so that daemons start where it is one

Cause: the settings asked for a whole number, and the platform's pages say that bounds may be fractions. The slack is shared among the daemons, so it was a fraction within the budget already.

--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -14,6 +14,8 @@
 const ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/;
 const ADDRESS_EXPECTED = 'an IP number and a port, such as "10.0.0.7:7000"';
 const MEBIBYTE = 1024 * 1024;
+const MAX_SLACK = 1_000_000;
+const SLACK_EXPECTED = `a number from 0 to ${MAX_SLACK}`;
 const RATIO_EXPECTED = 'a number from 0 to 1';
 
 const address = z
@@ -70,7 +72,11 @@
   retries: z
     .strictObject({
       window: duration('10s'),
-      slack: count(0, 1_000_000, 20),
+      slack: z
+        .number({ error: SLACK_EXPECTED })
+        .min(0, { error: SLACK_EXPECTED })
+        .max(MAX_SLACK, { error: SLACK_EXPECTED })
+        .default(20),
       shared: z.boolean({ error: 'true or false' }).default(false),
       ratio: z
         .number({ error: RATIO_EXPECTED })
