Judge daemons by what was asked, and second attempts by what is open

Each new test fails on the code before: - A daemon that refused a connection while it was probed was probed twice at once from then on, and a probe that came back as silent made it silent again ("a: silent"): its calls were kept at a dead daemon. A refusal counts in every state now, one loop probes a daemon, and what a probe shows changes nothing that was found meanwhile. - A call that was placed while a probe was under way was freed by it ("b: unreachable"). Only calls that were there when the daemon was asked are told. - A second attempt that was refused was the last one (2 attempts in place of 3), though the first upstream stayed silent; and one could begin after the caller had left.

silentDaemon.test.ts kept its process alive for a minute, as its channel ignored the cancel.

--- a/src/request/PeerLiveness.test.ts
+++ b/src/request/PeerLiveness.test.ts
@@ -124,4 +124,49 @@
   liveness.dispose();
 });
 
+test('a daemon that refuses a connection while it is probed is unreachable, and probed once at a time', async () => {
+  const results: ProbeResult[] = ['silent', 'unreachable'];
+  let open = 0;
+  let most = 0;
+  let probes = 0;
+  const told: string[] = [];
+  let refuse: () => void = () => undefined;
+  const probe = async (): Promise<ProbeResult> => {
+    open += 1;
+    most = Math.max(most, open);
+    if (probes === 1) refuse();
+    probes += 1;
+    await delay(1);
+    open -= 1;
+    return results[probes - 1] ?? 'unreachable';
+  };
+  const liveness = livenessWith(probe);
+  refuse = () => liveness.refused(PEER);
+  for (const watcher of watchers(told)) liveness.watch(PEER, watcher);
+  await until(() => probes >= 5);
+  assert.equal([...new Set(told)], ['a: unreachable', 'b: unreachable']);
+  assert.is(most, 1);
+  liveness.heard(PEER);
+  liveness.dispose();
+});
+
+test('a call that came after a daemon was asked is not freed by what that showed', async () => {
+  const told: string[] = [];
+  let probes = 0;
+  let call: () => void = () => undefined;
+  const probe = async (): Promise<ProbeResult> => {
+    probes += 1;
+    await delay(2);
+    if (probes === 2) call();
+    return 'unreachable';
+  };
+  const liveness = livenessWith(probe);
+  call = () => liveness.watch(PEER, watchers(told)[1]!);
+  liveness.watch(PEER, watchers(told)[0]!);
+  await until(() => liveness.isLost(PEER));
+  assert.equal(told, ['a: unreachable']);
+  liveness.heard(PEER);
+  liveness.dispose();
+});
+
 test.run();
--- a/src/request/PeerLiveness.ts
+++ b/src/request/PeerLiveness.ts
@@ -45,6 +45,8 @@
   heardAt: number;
   pingedAt: number;
   probing: boolean;
+  /** Whether it is probed until it answers again. */
+  awaited: boolean;
   state: ProbeResult;
   readonly watches: Set<Watch>;
 }
@@ -92,7 +94,8 @@
   }
 
   public refused(address: Address): void {
-    if (!this.isLost(address)) this.lose(address, 'unreachable', 'it takes no connection');
+    if (this.peer(address).state === 'unreachable') return;
+    this.lose(address, 'unreachable', 'it takes no connection', this.clock.now());
   }
 
   public watch(address: Address, watcher: PeerWatcher): Disposable {
@@ -137,6 +140,7 @@
     const peer = this.peer(address);
     peer.probing = true;
     const heardAt = this.heardAt(address);
+    const askedAt = this.clock.now();
     let state: Loss = 'unreachable';
     try {
       for (let failed = 0; failed < PROBES_BEFORE_LOST; failed += 1) {
@@ -152,21 +156,25 @@
     } finally {
       peer.probing = false;
     }
-    this.lose(address, state, 'it did not answer probes');
+    // A connection that was refused meanwhile says more.
+    if (!this.isLost(address)) this.lose(address, state, 'it did not answer probes', askedAt);
   }
 
-  private lose(address: Address, state: Loss, reason: string): void {
+  private lose(address: Address, state: Loss, reason: string, askedAt: number): void {
     const peer = this.peer(address);
-    this.note(address, peer, state, reason);
-    void this.awaitReturn(address);
+    this.note(address, state, reason, askedAt);
+    if (!peer.awaited) void this.awaitReturn(address);
   }
 
-  private note(address: Address, peer: Peer, state: Loss, reason: string): void {
+  /** Tells the calls that were there when the daemon was asked. */
+  private note(address: Address, state: Loss, reason: string, askedAt: number): void {
+    const peer = this.peer(address);
     if (peer.state !== state) {
       this.logger.log('Lost a daemon.', { address, state, reason, calls: peer.watches.size });
     }
     Object.assign(peer, { state });
-    for (const { watcher } of [...peer.watches]) {
+    for (const { since, watcher } of [...peer.watches]) {
+      if (since > askedAt) continue;
       if (state === 'silent') watcher.onSilent();
       else watcher.onUnreachable();
     }
@@ -174,21 +182,26 @@
 
   private async awaitReturn(address: Address): Promise<void> {
     const peer = this.peer(address);
+    peer.awaited = true;
     let unreachable = 0;
     for (let probes = 0; probes < MAX_LOST_PROBES && this.isLost(address); probes += 1) {
       await new Promise((resolve) => {
         setTimeout(resolve, LOST_PROBE_MS).unref();
       });
-      if (this.disposed || !this.isLost(address)) return;
+      if (this.disposed) return;
+      if (!this.isLost(address)) break;
+      const askedAt = this.clock.now();
       const result = await this.probe(address);
-      if (!this.isLost(address)) return;
       unreachable = result === 'unreachable' ? unreachable + 1 : 0;
       if (result === 'answers') this.found(address);
-      else if (result === 'silent') this.note(address, peer, 'silent', 'it did not answer probes');
+      // An answer to a call meanwhile says as much as one to the probe.
+      else if (!this.isLost(address)) break;
+      else if (result === 'silent') this.note(address, result, 'it answers no probe', askedAt);
       else if (unreachable >= PROBES_BEFORE_LOST) {
-        this.note(address, peer, 'unreachable', 'it takes no connection');
+        this.note(address, result, 'it takes no connection', askedAt);
       }
     }
+    peer.awaited = false;
     // It may have left for good; a call that comes to it finds out anew.
     if (this.isLost(address)) this.peers.delete(address);
   }
@@ -208,6 +221,7 @@
         heardAt: -Infinity,
         pingedAt: -Infinity,
         probing: false,
+        awaited: false,
         state: 'answers',
         watches: new Set(),
       };
--- a/src/request/hedgedAttempt.test.ts
+++ b/src/request/hedgedAttempt.test.ts
@@ -96,4 +96,38 @@
   assert.is(((await answer) as FakeAnswer).name, 'the silent one');
 });
 
+test('a second attempt that was refused is followed by another while the upstream is silent', async () => {
+  const { attempt, ends } = pair();
+  let sign: () => void = () => undefined;
+  const first: Attempt = (cancel, onSilent) => {
+    sign = onSilent;
+    return attempt(cancel, onSilent);
+  };
+  const answer = hedgedAttempt(first, () => attempt, 60_000, NEVER);
+  sign();
+  sign();
+  ends[1]!.reject(new Error('the queue is full'));
+  await new Promise(setImmediate);
+  sign();
+  assert.is(ends.length, 3);
+  ends[2]!.resolve(new FakeAnswer('third'));
+  assert.is(((await answer) as FakeAnswer).name, 'third');
+});
+
+test('no second attempt is made for a caller who has left', async () => {
+  const { attempt, ends } = pair();
+  const left = new AbortController();
+  let sign: () => void = () => undefined;
+  const first: Attempt = (cancel, onSilent) => {
+    sign = onSilent;
+    return attempt(cancel, onSilent);
+  };
+  const answer = hedgedAttempt(first, () => attempt, 60_000, left.signal);
+  left.abort();
+  sign();
+  assert.is(ends.length, 1);
+  ends[0]!.reject(new Error('given up'));
+  assert.is(await answer.catch(({ message }: Error) => message), 'given up');
+});
+
 test.run();
--- a/src/request/hedgedAttempt.ts
+++ b/src/request/hedgedAttempt.ts
@@ -18,7 +18,8 @@
  *
  * @param first - The attempt.
  * @param second - Gives the second attempt, or `undefined` where none may be made now; is told
- * whether the upstream of the first is silent.
+ * whether the upstream of the first is silent. It is asked again at each sign of that, also after a
+ * second attempt has failed.
  * @param delayMs - After how many milliseconds the second one starts.
  * @param signal - Cancels both.
  * @returns The first answer.
@@ -34,7 +35,6 @@
     const open = new Set<CancelSource>();
     let timer: NodeJS.Timeout;
     let won = false;
-    let startedSecond = false;
     const start = async (attempt: Attempt): Promise<void> => {
       const cancel = new CancelSource();
       const leave = () => cancel.abort(signal.reason);
@@ -61,10 +61,9 @@
       }
     };
     const startSecond = (silent: boolean) => {
-      if (startedSecond || won || open.size === 0) return;
+      if (won || signal.aborted || open.size !== 1) return;
       const attempt = second(silent);
       if (!attempt) return;
-      startedSecond = true;
       clearTimeout(timer);
       void start(attempt);
     };
--- a/src/request/silentDaemon.test.ts
+++ b/src/request/silentDaemon.test.ts
@@ -34,8 +34,9 @@
   const channels = {
     get: (address: string) => ({
       lastHeardAt: 0,
-      send: () => {
+      send: (_call: unknown, signal: CancelSource) => {
         let fail: (error: Error) => void;
+        signal.addEventListener('abort', () => fail(new ExchangeError('aborted', true, true)));
         return {
           reply: new Promise((resolve, reject) => {
             fail = reject;
@@ -77,6 +78,7 @@
     transport: new PeerTransport(channels, async () => 'unanswered', liveness, 60_000, clock),
     clock,
     lagMs: () => 0,
+    waitedMs: () => 0,
     incarnation: () => 1,
     nextAttempt: () => 1,
     onAttempt: () => undefined,
