See that callers left while their connections waited to be accepted

After a power cut every caller connects anew and then again for each repeat. A connection, its request and its close wait in the accept queue for a second, while each turn is short and no timer late: waitedMs is 0, nothing waits for closes, and the call is begun.

Ruled out: waiting for a slot (pine-2 runs 2 of 18, none wait), a channel that stalled (the time left is counted from its sending), a long turn.

Change: AcceptQueue bounds the wait of each connection by the time since the queue was last seen empty; its first request lets closes be seen where that is long.

--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -316,6 +316,7 @@
   { balancer, transport }: UpstreamParts,
   metrics: DaemonMetrics,
   readiness: Readiness,
+  listener: Listener,
 ) {
   const { daemon: own, calls } = settings;
   const retries = () => holder.current.retries;
@@ -347,6 +348,7 @@
     onAttempt: metrics.onAttempt,
     report: metrics.onCall,
     guard: new OverloadGuard(() => lag.currentMs, random),
+    acceptedAfterMs: (socket) => listener.acceptedAfterMs(socket),
     isCurrent: () => readiness.isCurrent,
   });
 }
@@ -404,7 +406,7 @@
     },
     clock,
   );
-  const calls = wireCalls(core, members, versions, upstreams, metrics, readiness);
+  const calls = wireCalls(core, members, versions, upstreams, metrics, readiness, listeners.calls);
   metrics.watchOpenCalls(() => calls.openCalls);
   followLimits(versions, listeners.calls);
   servePlatform(core, listeners, readiness, registration);
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Logger, RequestId, ServiceName } from '../common/Types';
 import type { CurrentVersion, Route } from '../version/Types';
 import Call, { type CallServices, type CallTerms } from './Call';
@@ -55,6 +56,8 @@
   readonly logger: Logger;
   readonly report: (report: CallReport) => void;
   readonly guard: OverloadGuard;
+  /** Longest time in ms that a connection whose request is read first may have waited before. */
+  readonly acceptedAfterMs: (socket: Socket) => number;
   /** Whether the configuration in force is known to be no older than that of other daemons. */
   readonly isCurrent: () => boolean;
 }
@@ -204,9 +207,9 @@
     terms: CallTerms,
     record: CallRecord,
   ): Promise<void> {
-    const { clock, names, guard, versions, waitedMs } = this.services;
+    const { clock, names, guard, versions, waitedMs, acceptedAfterMs } = this.services;
     const arrivedAt = clock.now() - waitedMs();
-    await settleCloses(waitedMs());
+    await settleCloses(Math.max(waitedMs(), acceptedAfterMs(message.socket)));
     const askedMs = positiveHeader(message.headers, names.deadlineMs, Infinity);
     const allowedMs = Math.min(askedMs, terms.route.timeoutMs);
     const attempts = positiveHeader(message.headers, ATTEMPTS_HEADER, 0);
