Don't cut off a call that comes in while the last news of a stop leaves

What callers would see: a closed connection for a call that was read and passed on (LOST).

Change: the stop waits for idle once more, within its deadline.

--- a/src/process/Daemon.ts
+++ b/src/process/Daemon.ts
@@ -104,17 +104,24 @@
     const drained = registration.drain();
     await sleep((1 - LENT_PART) * leaveMs);
     callListener.stopAccepting();
-    const late = new AbortController();
-    const finished = Promise.all([drained, calls.whenIdle()]);
-    await Promise.race([finished, sleep(Math.max(0, deadline - clock.now()), late.signal)]);
-    late.abort();
+    await this.finish(Promise.all([drained, calls.whenIdle()]), deadline);
     members.updateSelf({ state: 'gone' });
     await sleep(FAREWELL_MS);
+    // A connection that was open without a request may have brought one.
+    await this.finish(calls.whenIdle(), deadline);
     logger.log('Stopped.', { openCalls: calls.openCalls });
     this.dispose();
     await this.running;
   }
 
+  /** Waits for work to end, at most until the deadline. */
+  private async finish(work: Promise<unknown>, deadline: number): Promise<void> {
+    const late = new AbortController();
+    const leftMs = Math.max(0, deadline - this.parts.clock.now());
+    await Promise.race([work, sleep(leftMs, late.signal)]);
+    late.abort();
+  }
+
   public dispose(): void {
     this.end.abort();
     this.parts.resources.dispose();
