--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -43,8 +43,8 @@
   {
     name: 'a broken connection counts as not run',
     file: 'src/request/PeerTransport.ts',
-    from: "return state === 'forbidden'",
-    to: 'return state !== "nothing"',
+    from: "if (state === 'forbidden') return",
+    to: 'if (state !== "nothing") return',
     test: 'test/callFaults.test.ts',
     scenario: 'daemons killed and restarted',
   },
@@ -59,8 +59,8 @@
   {
     name: 'no second attempt for stragglers',
     file: 'src/request/Call.ts',
-    from: 'if (!this.idempotent || this.attemptsAbove > 1) return first(signal);',
-    to: 'return first(signal);',
+    from: 'if (!this.idempotent || this.attemptsAbove > 1) return first(signal, () => undefined);',
+    to: 'return first(signal, () => undefined);',
     test: 'test/callFaults.test.ts',
     scenario: 'a frozen upstream',
   },
@@ -79,7 +79,7 @@
     to: 'this.place(this.tried)',
     also: {
       file: 'src/request/PeerTransport.ts',
-      from: 'this.pools.leave(upstream.address, pool);',
+      from: 'this.channels.leave(upstream.address, channel);',
       to: '',
     },
     test: 'test/silentConnections.test.ts',
@@ -88,8 +88,8 @@
   {
     name: 'a drain cuts off what runs',
     file: 'src/process/Daemon.ts',
-    from: 'await Promise.race([finished, sleep(Math.max(0, deadline - clock.now()), late.signal)]);',
-    to: 'void [finished, deadline, late]; process.exit(0);',
+    from: 'await Promise.race([work, sleep(leftMs, late.signal)]);',
+    to: 'void [work, leftMs]; process.exit(0);',
     test: 'test/callFaults.test.ts',
     scenario: 'rolling restart',
   },
