--- a/bench/balancer.ts
+++ b/bench/balancer.ts
@@ -236,7 +236,7 @@
     (clock, random, upstreams) =>
       new ForecastBalancer(
         { upstreams: () => upstreams },
-        { isLost: () => false },
+        { isUnresponsive: () => false },
         'coq' as ZoneName,
         clock,
         random,
--- a/src/request/Call.test.ts
+++ b/src/request/Call.test.ts
@@ -80,7 +80,7 @@
   const clock = new ManualClock();
   const channels = new FatedChannels(fates);
   const liveness = {
-    isLost: () => false,
+    isUnresponsive: () => false,
     heard: () => undefined,
     refused: () => undefined,
     watch: () => ({ dispose: () => undefined }),
--- a/src/request/ForecastBalancer.test.ts
+++ b/src/request/ForecastBalancer.test.ts
@@ -50,7 +50,7 @@
   const clock = new ManualClock();
   const balancer = new ForecastBalancer(
     { upstreams: () => [OWN, OTHER] },
-    { isLost: (address) => lost.includes(address) },
+    { isUnresponsive: (address) => lost.includes(address) },
     'coq' as ZoneName,
     clock,
     new SeededRandom(5),
@@ -104,7 +104,7 @@
   const clock = new ManualClock();
   const balancer = new ForecastBalancer(
     { upstreams: () => [OWN, OTHER] },
-    { isLost: () => false },
+    { isUnresponsive: () => false },
     'coq' as ZoneName,
     clock,
     new SeededRandom(5),
--- a/src/request/ForecastBalancer.ts
+++ b/src/request/ForecastBalancer.ts
@@ -80,7 +80,7 @@
 
   public constructor(
     private readonly directory: UpstreamDirectory,
-    private readonly liveness: Pick<Liveness, 'isLost'>,
+    private readonly liveness: Pick<Liveness, 'isUnresponsive'>,
     private readonly zone: ZoneName,
     private readonly clock: Clock,
     private readonly random: Random,
@@ -154,7 +154,7 @@
 
   /** Leaves out those out of reach, set aside or lost from sight, but never all. */
   private fit(upstreams: readonly Upstream[], now: number): readonly Upstream[] {
-    const reached = upstreams.filter(({ address }) => !this.liveness.isLost(address));
+    const reached = upstreams.filter(({ address }) => !this.liveness.isUnresponsive(address));
     const unproven = reached.filter(
       ({ daemon }) => now >= (this.standings.get(daemon)?.asideUntil ?? 0),
     );
--- a/src/request/PeerLiveness.test.ts
+++ b/src/request/PeerLiveness.test.ts
@@ -35,10 +35,10 @@
   const liveness = livenessWith(probe);
   const told: string[] = [];
   for (const watcher of watchers(told)) liveness.watch(PEER, watcher);
-  await until(() => liveness.isLost(PEER));
+  await until(() => liveness.isUnresponsive(PEER));
   assert.equal(told, ['a: unreachable', 'b: unreachable']);
   result = 'answers';
-  await until(() => !liveness.isLost(PEER));
+  await until(() => !liveness.isUnresponsive(PEER));
   liveness.dispose();
 });
 
@@ -52,7 +52,7 @@
   const liveness = livenessWith(probe);
   const told: string[] = [];
   for (const watcher of watchers(told)) liveness.watch(PEER, watcher);
-  await until(() => liveness.isLost(PEER) && probes >= 4);
+  await until(() => liveness.isUnresponsive(PEER) && probes >= 4);
   assert.equal([...new Set(told)], ['a: silent', 'b: silent']);
   liveness.heard(PEER);
   liveness.dispose();
@@ -83,7 +83,7 @@
   liveness.watch(PEER, watchers(told)[0]!);
   await until(() => probes >= 3);
   assert.equal(told, []);
-  assert.not(liveness.isLost(PEER));
+  assert.not(liveness.isUnresponsive(PEER));
   liveness.dispose();
 });
 
@@ -91,9 +91,9 @@
   const probe = () => Promise.resolve('unreachable' as const);
   const liveness = livenessWith(probe);
   liveness.refused(PEER);
-  assert.ok(liveness.isLost(PEER));
+  assert.ok(liveness.isUnresponsive(PEER));
   liveness.heard(PEER);
-  assert.not(liveness.isLost(PEER));
+  assert.not(liveness.isUnresponsive(PEER));
   liveness.dispose();
 });
 
@@ -119,7 +119,7 @@
   await until(() => pings >= 3);
   assert.is(probes, 0);
   answers = false;
-  await until(() => liveness.isLost(PEER));
+  await until(() => liveness.isUnresponsive(PEER));
   assert.ok(probes > 0);
   liveness.dispose();
 });
@@ -163,7 +163,7 @@
   const liveness = livenessWith(probe);
   call = () => liveness.watch(PEER, watchers(told)[1]!);
   liveness.watch(PEER, watchers(told)[0]!);
-  await until(() => liveness.isLost(PEER));
+  await until(() => liveness.isUnresponsive(PEER));
   assert.equal(told, ['a: unreachable']);
   liveness.heard(PEER);
   liveness.dispose();
--- a/src/request/PeerLiveness.ts
+++ b/src/request/PeerLiveness.ts
@@ -9,14 +9,14 @@
  * share the load, the longer each is silent between two answers.
  */
 const PING_PART = 0.75;
-/** Probes without an answer, in a row, after which a daemon counts as lost; one may be dropped. */
-const PROBES_BEFORE_LOST = 2;
-/** Pause between probes of a lost daemon, in milliseconds. */
-const LOST_PROBE_MS = 400;
-/** Probes of a lost daemon after which it is asked no more until a call goes to it again. */
-const MAX_LOST_PROBES = 150;
+/** Probes without an answer, in a row, that make a daemon unresponsive; one may be dropped. */
+const FAILED_PROBES = 2;
+/** Pause between probes of an unresponsive daemon, in milliseconds. */
+const RETURN_PROBE_MS = 400;
+/** Probes of an unresponsive daemon after which it is asked no more until a call goes to it. */
+const MAX_RETURN_PROBES = 150;
 
-type Loss = Exclude<ProbeResult, 'answers'>;
+type Unresponsiveness = Exclude<ProbeResult, 'answers'>;
 
 /** Settings of the watch, in milliseconds. */
 export interface PeerLivenessOptions {
@@ -56,9 +56,9 @@
  *
  * Load it answers: VMs that are cut off, frozen or without power, whose connections stay open and
  * silent. Waiting for each call's deadline would hold every call placed there; here the first
- * silence of a daemon starts a probe on a new connection, and its loss frees all calls at once. Long
- * calls at daemons that are sound cost a ping on their channel.
- * A daemon that takes the connection and gives no answer isn't lost: it may be too busy, and what
+ * silence of a daemon starts a probe on a new connection, and all calls at an unreachable one are
+ * freed at once. Long calls at daemons that are sound cost a ping on their channel.
+ * A daemon that takes the connection and gives no answer is silent: it may be too busy, and what
  * was sent to it may be running. Its calls go on, beside second attempts where those are allowed.
  */
 export default class PeerLiveness implements Liveness, Disposable {
@@ -85,7 +85,7 @@
     this.timer = setInterval(() => this.check(), CHECK_MS).unref();
   }
 
-  public isLost(address: Address): boolean {
+  public isUnresponsive(address: Address): boolean {
     return (this.peers.get(address)?.state ?? 'answers') !== 'answers';
   }
 
@@ -95,7 +95,7 @@
 
   public refused(address: Address): void {
     if (this.peer(address).state === 'unreachable') return;
-    this.lose(address, 'unreachable', 'it takes no connection', this.clock.now());
+    this.suspend(address, 'unreachable', 'it takes no connection', this.clock.now());
   }
 
   public watch(address: Address, watcher: PeerWatcher): Disposable {
@@ -141,9 +141,9 @@
     peer.probing = true;
     const heardAt = this.heardAt(address);
     const askedAt = this.clock.now();
-    let state: Loss = 'unreachable';
+    let state: Unresponsiveness = 'unreachable';
     try {
-      for (let failed = 0; failed < PROBES_BEFORE_LOST; failed += 1) {
+      for (let failed = 0; failed < FAILED_PROBES; failed += 1) {
         const result = await this.probe(address);
         if (result === 'answers') {
           this.found(address);
@@ -157,20 +157,31 @@
       peer.probing = false;
     }
     // A connection that was refused meanwhile says more.
-    if (!this.isLost(address)) this.lose(address, state, 'it did not answer probes', askedAt);
+    if (this.isUnresponsive(address)) return;
+    this.suspend(address, state, 'it did not answer probes', askedAt);
   }
 
-  private lose(address: Address, state: Loss, reason: string, askedAt: number): void {
+  private suspend(
+    address: Address,
+    state: Unresponsiveness,
+    reason: string,
+    askedAt: number,
+  ): void {
     const peer = this.peer(address);
     this.note(address, state, reason, askedAt);
     if (!peer.awaited) void this.awaitReturn(address);
   }
 
   /** Tells the calls that were there when the daemon was asked. */
-  private note(address: Address, state: Loss, reason: string, askedAt: number): void {
+  private note(address: Address, state: Unresponsiveness, reason: string, askedAt: number): void {
     const peer = this.peer(address);
     if (peer.state !== state) {
-      this.logger.log('Lost a daemon.', { address, state, reason, calls: peer.watches.size });
+      this.logger.log('A daemon is unresponsive.', {
+        address,
+        state,
+        reason,
+        calls: peer.watches.size,
+      });
     }
     Object.assign(peer, { state });
     for (const { since, watcher } of [...peer.watches]) {
@@ -184,26 +195,26 @@
     const peer = this.peer(address);
     peer.awaited = true;
     let unreachable = 0;
-    for (let probes = 0; probes < MAX_LOST_PROBES && this.isLost(address); probes += 1) {
+    for (let probes = 0; probes < MAX_RETURN_PROBES && this.isUnresponsive(address); probes += 1) {
       await new Promise((resolve) => {
-        setTimeout(resolve, LOST_PROBE_MS).unref();
+        setTimeout(resolve, RETURN_PROBE_MS).unref();
       });
       if (this.disposed) return;
-      if (!this.isLost(address)) break;
+      if (!this.isUnresponsive(address)) break;
       const askedAt = this.clock.now();
       const result = await this.probe(address);
       unreachable = result === 'unreachable' ? unreachable + 1 : 0;
       if (result === 'answers') this.found(address);
       // An answer to a call meanwhile says as much as one to the probe.
-      else if (!this.isLost(address)) break;
+      else if (!this.isUnresponsive(address)) break;
       else if (result === 'silent') this.note(address, result, 'it answers no probe', askedAt);
-      else if (unreachable >= PROBES_BEFORE_LOST) {
+      else if (unreachable >= FAILED_PROBES) {
         this.note(address, result, 'it takes no connection', askedAt);
       }
     }
     peer.awaited = false;
     // It may have left for good; a call that comes to it finds out anew.
-    if (this.isLost(address)) this.peers.delete(address);
+    if (this.isUnresponsive(address)) this.peers.delete(address);
   }
 
   private found(address: Address): void {
@@ -211,7 +222,7 @@
     peer.heardAt = this.clock.now();
     if (peer.state === 'answers') return;
     peer.state = 'answers';
-    this.logger.log('A lost daemon answers again.', { address });
+    this.logger.log('An unresponsive daemon answers again.', { address });
   }
 
   private peer(address: Address): Peer {
--- a/src/request/PeerTransport.test.ts
+++ b/src/request/PeerTransport.test.ts
@@ -41,7 +41,7 @@
     return 'forbidden' as const;
   };
   const liveness = {
-    isLost: () => false,
+    isUnresponsive: () => false,
     heard: () => undefined,
     refused: () => events.push('the daemon is lost'),
     watch: () => ({ dispose: () => undefined }),
@@ -106,7 +106,7 @@
     return reply;
   };
   const liveness = {
-    isLost: () => !reachable,
+    isUnresponsive: () => !reachable,
     heard: () => undefined,
     refused: () => undefined,
     watch: (_address: unknown, { onUnreachable }: PeerWatcher) => {
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -273,7 +273,7 @@
    * @param address - Of a daemon.
    * @returns Whether it was found not to answer and hasn't answered since.
    */
-  isLost(address: Address): boolean;
+  isUnresponsive(address: Address): boolean;
   /** @param address - A daemon that has just answered something. */
   heard(address: Address): void;
   /** @param address - A daemon that refused a connection. */
--- a/src/request/silentDaemon.test.ts
+++ b/src/request/silentDaemon.test.ts
@@ -94,7 +94,7 @@
   void answer.then(() => {
     ended = true;
   });
-  while (!ended && !liveness.isLost('busy' as Address)) await delay(5);
+  while (!ended && !liveness.isUnresponsive('busy' as Address)) await delay(5);
   // Whatever the loss of sight leads to has happened after some turns.
   for (let turn = 0; turn < 5; turn += 1) await delay(1);
   silent = false;
