Give up a call at a daemon that can't be asked three times in a row

Cause: since a question after a call that goes unanswered proves nothing, however often. A busy daemon answers one of a few, a frozen one none.

Change: the third in a row ends the call as unknown.

--- a/src/request/PeerTransport.test.ts
+++ b/src/request/PeerTransport.test.ts
@@ -125,6 +125,7 @@
 test('a long call is not given up because its daemon is too busy to say what became of it', async () => {
   const rows = [
     `cannot be asked, reachable: ${await longCall(['unanswered', 'unanswered', 'running'], true)}`,
+    `can never be asked, reachable: ${await longCall(Array(4).fill('unanswered'), true)}`,
     `cannot be asked, unreachable: ${await longCall(['unanswered', 'running'], false)}`,
     `started anew: ${await longCall(['replaced', 'running'], true)}`,
     `never came: ${await longCall(['forbidden', 'running'], true)}`,
@@ -132,6 +133,7 @@
   assert.snapshot(
     rows.join('\n'),
     `cannot be asked, reachable: answered 200
+can never be asked, reachable: UnknownOutcomeError: the connection fell silent; the attempt is unresolved
 cannot be asked, unreachable: UnknownOutcomeError: the connection fell silent; the attempt is unresolved
 started anew: UnknownOutcomeError: the connection fell silent; the attempt is unresolved
 never came: NotRunError: the connection fell silent; the attempt was fenced off`,
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -22,6 +22,11 @@
  * packet holds it up for less.
  */
 const SUSPECT_MS = 500;
+/**
+ * Questions after an attempt that go unanswered, in a row, before a daemon that takes connections is
+ * held for frozen rather than busy.
+ */
+const MAX_UNANSWERED = 3;
 /** Socket errors of connections that were never opened. */
 const UNREACHABLE_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH']);
 
@@ -52,6 +57,8 @@
   stopped: boolean;
   /** Whether the daemon was found unreachable. */
   unreachable: boolean;
+  /** Questions in a row that it didn't answer. */
+  unanswered: number;
 }
 
 /** Sends attempts to the daemon beside the upstream. */
@@ -149,11 +156,17 @@
     context: AttemptContext,
     giveUp: (error: Error) => void,
   ): SilenceWatch {
-    const watch: SilenceWatch = { timer: undefined, stopped: false, unreachable: false };
+    const watch: SilenceWatch = {
+      timer: undefined,
+      stopped: false,
+      unreachable: false,
+      unanswered: 0,
+    };
     let before: FenceReply | undefined;
     const ask = async () => {
       const state = await this.fence(upstream, context, false);
       if (watch.stopped) return;
+      watch.unanswered = state === 'unanswered' ? watch.unanswered + 1 : 0;
       const pending = PeerTransport.isPending(state, before, watch);
       before = state;
       if (pending) watch.timer = setTimeout(() => void ask(), this.silenceMs);
@@ -166,13 +179,13 @@
   private static isPending(
     state: FenceReply,
     before: FenceReply | undefined,
-    { unreachable }: SilenceWatch,
+    { unreachable, unanswered }: SilenceWatch,
   ): boolean {
     if (state === 'running' || state === 'queued') return true;
     // The answer of an attempt that has just ended may still be on its way.
     if (state === 'done') return before !== 'done';
     // A daemon that is too busy for the question may be running the call.
-    return state === 'unanswered' && !unreachable;
+    return state === 'unanswered' && !unreachable && unanswered < MAX_UNANSWERED;
   }
 
   private async resolve(
