--- a/test/callFaults.test.ts
+++ b/test/callFaults.test.ts
@@ -93,7 +93,13 @@
 
 async function enough(load: CallerLoad, count: number): Promise<void> {
   const target = load.records.length + count;
-  await eventually(`${count} calls`, () => load.records.length >= target);
+  try {
+    await eventually(`${count} calls`, () => load.records.length >= target);
+  } catch (error) {
+    // Its callers would keep the process alive.
+    void load.stop();
+    throw error;
+  }
 }
 
 scenario('daemons killed and restarted under charges: none runs twice, each label is true', () =>
