--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -68,6 +68,9 @@
   route?: string;
   service?: string;
   allowedMs?: number;
+  /** Longest time that it may have waited to be read, and its connection to be accepted. */
+  waitedMs?: number;
+  acceptedAfterMs?: number;
   call?: Call;
   outcome: Outcome;
   reason?: string;
@@ -209,7 +212,12 @@
   ): Promise<void> {
     const { clock, names, guard, versions, waitedMs, acceptedAfterMs } = this.services;
     const arrivedAt = clock.now() - waitedMs();
-    await settleCloses(Math.max(waitedMs(), acceptedAfterMs(message.socket)));
+    const acceptedMs = acceptedAfterMs(message.socket);
+    Object.assign(record, {
+      waitedMs: Math.round(waitedMs()),
+      acceptedAfterMs: Math.round(acceptedMs),
+    });
+    await settleCloses(Math.max(waitedMs(), acceptedMs));
     const askedMs = positiveHeader(message.headers, names.deadlineMs, Infinity);
     const allowedMs = Math.min(askedMs, terms.route.timeoutMs);
     const attempts = positiveHeader(message.headers, ATTEMPTS_HEADER, 0);
@@ -285,6 +293,8 @@
       reason: record.reason,
       durationMs: Math.round(durationMs),
       allowedMs: record.allowedMs,
+      waitedMs: record.waitedMs,
+      acceptedAfterMs: record.acceptedAfterMs,
       attempts: record.call?.traces,
       unhedged: record.call?.unhedged,
     });
