--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -8,9 +8,7 @@
 } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Address, Disposable } from '../common/Types';
-import SystemClock from '../common/SystemClock';
 import { OUTCOME_HEADER } from '../request/callHeaders';
-import AcceptQueue from './AcceptQueue';
 
 const MALFORMED_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -32,8 +30,6 @@
 export default class Listener implements Disposable {
   public readonly server: Server;
 
-  private readonly acceptQueue = new AcceptQueue(new SystemClock());
-
   private handler: RequestListener | undefined;
 
   /** @param options - Limits of the HTTP server. */
@@ -43,15 +39,6 @@
       (message, response) => this.dispatch(message, response),
     );
     this.server.on('clientError', refuseMalformed);
-    this.server.on('connection', (socket: Socket) => this.acceptQueue.note(socket));
-  }
-
-  /**
-   * @param socket - A connection.
-   * @returns Longest time in ms that it may have waited to be accepted; 0 from its second request on.
-   */
-  public acceptedAfterMs(socket: Socket): number {
-    return this.acceptQueue.waitedMs(socket);
   }
 
   /**
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -43,6 +43,7 @@
 import RoutingTransport from '../request/RoutingTransport';
 import { mergeFolder } from '../version/mergeFolder';
 import VersionStore from '../version/VersionStore';
+import AcceptQueue from './AcceptQueue';
 import Daemon, { type DaemonAddresses, type Task } from './Daemon';
 import DaemonMetrics from './DaemonMetrics';
 import Inspection from './Inspection';
@@ -316,7 +317,7 @@
   { balancer, transport }: UpstreamParts,
   metrics: DaemonMetrics,
   readiness: Readiness,
-  listener: Listener,
+  acceptQueue: AcceptQueue,
 ) {
   const { daemon: own, calls } = settings;
   const retries = () => holder.current.retries;
@@ -348,7 +349,7 @@
     onAttempt: metrics.onAttempt,
     report: metrics.onCall,
     guard: new OverloadGuard(() => lag.currentMs, random),
-    acceptedAfterMs: (socket) => listener.acceptedAfterMs(socket),
+    acceptedAfterMs: (socket) => acceptQueue.waitedMs(socket),
     isCurrent: () => readiness.isCurrent,
   });
 }
@@ -385,6 +386,8 @@
   const core = wireCore(holder);
   const { settings, resources, clock, meter, names, logger } = core;
   const listeners = createListeners(settings);
+  const acceptQueue = new AcceptQueue(clock);
+  listeners.calls.server.on('connection', (socket) => acceptQueue.note(socket));
   const addresses = await bindListeners(listeners, settings);
   for (const listener of Object.values(listeners) as (Listener | undefined)[]) {
     if (listener) resources.add(listener);
@@ -406,7 +409,7 @@
     },
     clock,
   );
-  const calls = wireCalls(core, members, versions, upstreams, metrics, readiness, listeners.calls);
+  const calls = wireCalls(core, members, versions, upstreams, metrics, readiness, acceptQueue);
   metrics.watchOpenCalls(() => calls.openCalls);
   followLimits(versions, listeners.calls);
   servePlatform(core, listeners, readiness, registration);
