Make the error of an unsent call only where one is unsent, read the wait once

From the last reading: PeerTransport made an error, with its stack, for every call that it sent, and CallHandler asked three times how long a request had waited. Behaviour stays as it is.

--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -211,13 +211,14 @@
     record: CallRecord,
   ): Promise<void> {
     const { clock, names, guard, versions, waitedMs, acceptedAfterMs } = this.services;
-    const arrivedAt = clock.now() - waitedMs();
+    const readAfterMs = waitedMs();
+    const arrivedAt = clock.now() - readAfterMs;
     const acceptedMs = acceptedAfterMs(message.socket);
     Object.assign(record, {
-      waitedMs: Math.round(waitedMs()),
+      waitedMs: Math.round(readAfterMs),
       acceptedAfterMs: Math.round(acceptedMs),
     });
-    await settleCloses(Math.max(waitedMs(), acceptedMs));
+    await settleCloses(Math.max(readAfterMs, acceptedMs));
     const askedMs = positiveHeader(message.headers, names.deadlineMs, Infinity);
     const allowedMs = Math.min(askedMs, terms.route.timeoutMs);
     const attempts = positiveHeader(message.headers, ATTEMPTS_HEADER, 0);
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -105,12 +105,13 @@
       call.abort();
     };
     const watch = this.watch(upstream, context, giveUp);
-    const neverSent = PeerTransport.lost('never sent: the daemon stopped answering');
+    const giveUpUnsent = () =>
+      giveUp(PeerTransport.lost('never sent: the daemon stopped answering'));
     const life = this.liveness.watch(upstream.address, {
-      onSilent: () => (call.isSent() ? onSilent?.() : giveUp(neverSent)),
+      onSilent: () => (call.isSent() ? onSilent?.() : giveUpUnsent()),
       onUnreachable: () => {
         watch.unreachable = true;
-        if (!call.isSent()) giveUp(neverSent);
+        if (!call.isSent()) giveUpUnsent();
         // What may run once has nothing to gain by being given up.
         else if (context.idempotent) giveUp(new UnknownOutcomeError('the daemon is unreachable'));
       },
