--- a/src/process/Daemon.test.ts
+++ b/src/process/Daemon.test.ts
@@ -3,6 +3,27 @@
 import SystemClock from '../common/SystemClock';
 import Daemon, { type DaemonParts } from './Daemon';
 
+/** Parts of a daemon whose calls end as the test says. */
+function partsOf(
+  drainMs: number,
+  calls: Partial<DaemonParts['calls']>,
+  events: string[],
+  onGone: () => void = () => undefined,
+): DaemonParts {
+  return {
+    calls: Object.assign(calls, { closeConnections: () => undefined }),
+    registration: { drain: async () => undefined },
+    readiness: { stop: () => undefined },
+    callListener: { stopAccepting: () => undefined },
+    members: { updateSelf: onGone },
+    resources: { dispose: () => events.push('everything is released') },
+    tasks: [],
+    clock: new SystemClock(),
+    logger: { log: () => undefined },
+    settings: { current: { daemon: { drain: drainMs, leave: 1 } } },
+  } as unknown as DaemonParts;
+}
+
 test('a stop does not cut off a call that comes in while the last news leaves', async () => {
   const events: string[] = [];
   let open = 0;
@@ -11,7 +32,6 @@
     get openCalls() {
       return open;
     },
-    closeConnections: () => undefined,
     whenIdle: async () => {
       if (open === 0) return;
       await new Promise<void>((resolve) => {
@@ -19,29 +39,30 @@
       });
     },
   };
-  const parts = {
-    calls,
-    registration: { drain: async () => undefined },
-    readiness: { stop: () => undefined },
-    callListener: { stopAccepting: () => undefined },
-    members: {
-      updateSelf: () => {
-        // A connection that was kept without a request brings one now.
-        open = 1;
-        setTimeout(() => {
-          events.push('the call is answered');
-          open = 0;
-          idle();
-        }, 300);
-      },
-    },
-    resources: { dispose: () => events.push('everything is released') },
-    tasks: [],
-    clock: new SystemClock(),
-    logger: { log: () => undefined },
-    settings: { current: { daemon: { drain: 60_000, leave: 1 } } },
-  } as unknown as DaemonParts;
-  await new Daemon(parts).stop();
+  const onGone = () => {
+    // A connection that was kept without a request brings one now.
+    open = 1;
+    setTimeout(() => {
+      events.push('the call is answered');
+      open = 0;
+      idle();
+    }, 300);
+  };
+  await new Daemon(partsOf(60_000, calls, events, onGone)).stop();
+  assert.equal(events, ['the call is answered', 'everything is released']);
+});
+
+test('a call is cut off at four fifths of the time for a stop', async () => {
+  const events: string[] = [];
+  let idle: () => void = () => undefined;
+  const whenIdle = new Promise<void>((resolve) => {
+    idle = resolve;
+  });
+  setTimeout(() => {
+    events.push('the call is answered');
+    idle();
+  }, 2_550);
+  await new Daemon(partsOf(3_000, { openCalls: 1, whenIdle: () => whenIdle }, events)).stop();
   assert.equal(events, ['the call is answered', 'everything is released']);
 });
 
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -1,8 +1,8 @@
-import { cpSync } from 'node:fs';
+import { cpSync, mkdirSync, writeFileSync } from 'node:fs';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import Fleet, { eventually } from '../stand-in/Fleet';
-import { startDaemons } from './support';
+import { ledgerOf, startDaemons } from './support';
 
 const ZONES = ['coq', 'coq', 'rogers', 'rogers'];
 
@@ -61,4 +61,51 @@
   }
 });
 
+test('a daemon that stops begins no call that is known to outlast it', async () => {
+  const fleet = new Fleet();
+  try {
+    await fleet.startLog();
+    const [daemon] = await startDaemons(fleet, ['coq']);
+    const stopping = await fleet.startDaemon({
+      name: 'stopping',
+      zone: 'coq',
+      extra: { daemon: 'leave = "60s"\ndrain = "90s"' },
+    });
+    const upstream = await fleet.startUpstream('stock', daemon!);
+    const folder = fleet.path('folder');
+    mkdirSync(folder);
+    const routes = ['short', 'long'].map(
+      (name) => `[route.${name}]\nservice = "stock"\npath = "/${name}"\ntimeout = "10m"\n`,
+    );
+    const [short, long] = [`${routes[0]}objective = "1s"\n`, `${routes[1]}objective = "5m"\n`];
+    const service = '[service.stock]\nslots = 18\nconnections = 120\n';
+    writeFileSync(`${folder}/10.toml`, `${service}${short}${long}`);
+    await fleet.command(['publish', folder, '--log', fleet.log]);
+    const call = (path: string, id: string) =>
+      fetch(`http://${stopping.ready.listening.calls}${path}`, { headers: { 'x-call-id': id } });
+    await eventually('it is served', async () => (await call('/short', 'before')).status === 200);
+    stopping.child.kill('SIGTERM');
+    await eventually('it stops', async () => {
+      return (await call('/short', 'stopping')).headers.get('connection') === 'close';
+    });
+    const answers = [await call('/short', 'ends'), await call('/long', 'outlasts')];
+    assert.equal(
+      answers.map(({ status, headers }) => [
+        status,
+        headers.get('connection'),
+        headers.get('x-azurestream-outcome'),
+      ]),
+      [
+        [200, 'close', 'answered'],
+        [503, 'close', 'not-run'],
+      ],
+    );
+    const ran = (await ledgerOf(upstream.ready.port)).map(({ id }) => id);
+    assert.ok(ran.includes('ends'));
+    assert.not(ran.includes('outlasts'));
+  } finally {
+    await fleet.dispose();
+  }
+});
+
 test.run();
