Give calls the whole time for a stop, and begin none that would outlast it

Cause: calls were cut at 0.8 of the time for a stop, whatever its length; and until then each call was begun, also one of a route whose calls often take longer than what was left.

Change: the end takes a fixed 300 ms (last news, last answers); all else is for calls. StopGuard turns a call away, as not run and with its connection's end, where the objective of its route or the longest recent call of it would pass the end; a call whose caller gives up sooner is begun.

--- a/src/process/Daemon.test.ts
+++ b/src/process/Daemon.test.ts
@@ -11,7 +11,7 @@
   onGone: () => void = () => undefined,
 ): DaemonParts {
   return {
-    calls: Object.assign(calls, { closeConnections: () => undefined }),
+    calls: Object.assign(calls, { stop: () => undefined }),
     registration: { drain: async () => undefined },
     readiness: { stop: () => undefined },
     callListener: { stopAccepting: () => undefined },
--- a/src/process/Daemon.ts
+++ b/src/process/Daemon.ts
@@ -10,8 +10,11 @@
 import type SettingsHolder from './SettingsHolder';
 import type UpstreamRegistration from './UpstreamRegistration';
 
-/** Part of the time for a stop after which calls that still run are left behind. */
-const DRAIN_PART = 0.8;
+/**
+ * Time at the end of a stop, in milliseconds, in which the last answers leave and the process ends;
+ * calls that still run then are given up.
+ */
+const END_MS = 300;
 /**
  * Part of the time that callers have to leave in which the upstream still takes calls; in the rest of
  * it most of what it runs ends.
@@ -96,10 +99,10 @@
   public async stop(): Promise<void> {
     const { registration, readiness, calls, callListener, members, logger, clock } = this.parts;
     const { drain: drainMs, leave: leaveMs } = this.parts.settings.current.daemon;
-    const deadline = clock.now() + DRAIN_PART * drainMs;
-    logger.log('Stops.', { openCalls: calls.openCalls });
+    const deadline = clock.now() + Math.max(0, drainMs - END_MS);
+    logger.log('Stops.', { openCalls: calls.openCalls, drainMs, leaveMs });
     readiness.stop();
-    calls.closeConnections();
+    calls.stop(deadline);
     await sleep(LENT_PART * leaveMs);
     const drained = registration.drain();
     await sleep((1 - LENT_PART) * leaveMs);
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -16,6 +16,7 @@
 import RetryBudget, { type RetryAllowance } from './RetryBudget';
 import settleCloses from './settleCloses';
 import SplitDealers from './SplitDealers';
+import StopGuard from './StopGuard';
 import type {
   Answer,
   CallRequest,
@@ -84,21 +85,28 @@
 
   private open = 0;
 
-  private draining = false;
+  private readonly stopGuard: StopGuard;
 
   private idle: (() => void) | undefined;
 
   /** @param services - What it uses. */
-  public constructor(private readonly services: CallHandlerServices) {}
+  public constructor(private readonly services: CallHandlerServices) {
+    this.stopGuard = new StopGuard(services.clock);
+  }
 
   /** Calls that haven't ended. */
   public get openCalls(): number {
     return this.open;
   }
 
-  /** Ends callers' connections with their next answer; what comes until then is served. */
-  public closeConnections(): void {
-    this.draining = true;
+  /**
+   * Ends callers' connections with their next answer; what comes until then is served if it can end in
+   * time.
+   *
+   * @param endsAt - Monotonic time in ms at which calls that still run are given up.
+   */
+  public stop(endsAt: number): void {
+    this.stopGuard.stop(endsAt);
   }
 
   /** Resolves once no call is open. */
@@ -144,7 +152,7 @@
     const began = this.services.clock.now();
     const record: CallRecord = { outcome: 'answered' };
     this.open += 1;
-    if (this.draining) response.setHeader('connection', 'close');
+    if (this.stopGuard.isStopping) response.setHeader('connection', 'close');
     try {
       await this.answer(message, response, record);
     } catch (error) {
@@ -228,6 +236,9 @@
     }
     if (attempts > MAX_DEPTH_ATTEMPTS) throw new NotRunError('the call made too many attempts');
     const deadline = arrivedAt + allowedMs;
+    if (this.stopGuard.refuses(terms.route, deadline)) {
+      throw new NotRunError('this daemon may end before the call does', { unready: true });
+    }
     const leftMs = deadline - clock.now();
     if (leftMs <= 0) throw new NotRunError('its time had passed before it was read');
     const times = { deadline, objective: arrivedAt + terms.route.objectiveMs };
@@ -240,6 +251,7 @@
       call,
     });
     const answer = await CallHandler.withDeadline(message, leftMs, (signal) => call.run(signal));
+    this.stopGuard.note(terms.route, clock.now() - arrivedAt);
     if (!(await relayAnswer(answer, response, names))) {
       Object.assign(record, { reason: 'the answer broke off, or the caller left' });
     }
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -85,9 +85,10 @@
       fetch(`http://${stopping.ready.listening.calls}${path}`, { headers: { 'x-call-id': id } });
     await eventually('it is served', async () => (await call('/short', 'before')).status === 200);
     stopping.child.kill('SIGTERM');
-    await eventually('it stops', async () => {
-      return (await call('/short', 'stopping')).headers.get('connection') === 'close';
-    });
+    await eventually(
+      'it stops',
+      async () => (await call('/short', 'stopping')).headers.get('connection') === 'close',
+    );
     const answers = [await call('/short', 'ends'), await call('/long', 'outlasts')];
     assert.equal(
       answers.map(({ status, headers }) => [
