Log the caller's connection of each call and the requests ahead of it

Two callers lost their answers where the log showed one open call: no line named the connection, so that it could only be read from the times that one answer had waited behind the other. Each call's line now has the number of the connection in this process and how many requests before it were unanswered as it came; `Stops.` and `Stopped.` count the answers that are ready and haven't left. Daemon.ts changes in these two lines only. Nothing else acts otherwise: CallerConnection notes the requests of a connection in order and when node has handed an answer to the network.

--- a/src/process/Daemon.ts
+++ b/src/process/Daemon.ts
@@ -100,7 +100,8 @@
     const { registration, readiness, calls, callListener, members, logger, clock } = this.parts;
     const { drain: drainMs, leave: leaveMs } = this.parts.settings.current.daemon;
     const deadline = clock.now() + Math.max(0, drainMs - END_MS);
-    logger.log('Stops.', { openCalls: calls.openCalls, drainMs, leaveMs });
+    const { openCalls, unsentAnswers } = calls;
+    logger.log('Stops.', { openCalls, unsentAnswers, drainMs, leaveMs });
     readiness.stop();
     calls.stop(deadline);
     await sleep(LENT_PART * leaveMs);
@@ -112,7 +113,7 @@
     await sleep(FAREWELL_MS);
     // A connection that was open without a request may have brought one.
     await this.finish(calls.whenIdle(), deadline);
-    logger.log('Stopped.', { openCalls: calls.openCalls });
+    logger.log('Stopped.', { openCalls: calls.openCalls, unsentAnswers: calls.unsentAnswers });
     this.dispose();
     await this.running;
   }
--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -8,7 +8,9 @@
 } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Address, Disposable } from '../common/Types';
+import CallerConnection from '../connection/CallerConnection';
 import { OUTCOME_HEADER } from '../request/callHeaders';
+import type { Turn } from '../request/Types';
 
 const MALFORMED_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -32,12 +34,19 @@
 
   private handler: RequestListener | undefined;
 
+  private readonly connections = new WeakMap<Socket, CallerConnection>();
+
+  private readonly turns = new WeakMap<ServerResponse, Turn>();
+
+  private accepted = 0;
+
   /** @param options - Limits of the HTTP server. */
   public constructor(options: ServerOptions = {}) {
     this.server = createServer(
       { noDelay: true, requireHostHeader: false, ...options },
       (message, response) => this.dispatch(message, response),
     );
+    this.server.on('connection', (socket) => this.accept(socket));
     this.server.on('clientError', refuseMalformed);
   }
 
@@ -55,6 +64,14 @@
     this.handler = handler;
   }
 
+  /**
+   * @param response - Where the answer to a request goes that the handler was given.
+   * @returns The place of the request on its connection.
+   */
+  public turnOf(response: ServerResponse): Turn {
+    return this.turns.get(response)!;
+  }
+
   /**
    * @param address - Where to listen; port 0 picks a free one.
    * @returns The address with its real port.
@@ -81,7 +98,13 @@
     this.server.closeAllConnections();
   }
 
+  private accept(socket: Socket): void {
+    this.accepted += 1;
+    this.connections.set(socket, new CallerConnection(this.accepted, socket));
+  }
+
   private dispatch(message: IncomingMessage, response: ServerResponse): void {
+    this.turns.set(response, this.connections.get(message.socket)!.take(response));
     if (this.handler) {
       this.handler(message, response);
       return;
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -318,6 +318,7 @@
   metrics: DaemonMetrics,
   readiness: Readiness,
   acceptQueue: AcceptQueue,
+  listener: Listener,
 ) {
   const { daemon: own, calls } = settings;
   const retries = () => holder.current.retries;
@@ -350,6 +351,7 @@
     report: metrics.onCall,
     guard: new OverloadGuard(() => lag.currentMs, random),
     acceptedAfterMs: (socket) => acceptQueue.waitedMs(socket),
+    turnOf: (response) => listener.turnOf(response),
     isCurrent: () => readiness.isCurrent,
   });
 }
@@ -409,7 +411,16 @@
     },
     clock,
   );
-  const calls = wireCalls(core, members, versions, upstreams, metrics, readiness, acceptQueue);
+  const calls = wireCalls(
+    core,
+    members,
+    versions,
+    upstreams,
+    metrics,
+    readiness,
+    acceptQueue,
+    listeners.calls,
+  );
   metrics.watchOpenCalls(() => calls.openCalls);
   followLimits(versions, listeners.calls);
   servePlatform(core, listeners, readiness, registration);
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -23,6 +23,7 @@
   CancelSignal,
   HeaderNames,
   Outcome,
+  Turn,
   UpstreamDirectory,
 } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
@@ -59,12 +60,15 @@
   readonly guard: OverloadGuard;
   /** Longest time in ms that a connection whose request is read first may have waited before. */
   readonly acceptedAfterMs: (socket: Socket) => number;
+  /** The place of a request on its connection, by its answer. */
+  readonly turnOf: (response: ServerResponse) => Turn;
   /** Whether the configuration in force is known to be no older than that of other daemons. */
   readonly isCurrent: () => boolean;
 }
 
 /** What the log line of a call tells. */
 interface CallRecord {
+  readonly turn: Turn;
   requestId?: RequestId;
   route?: string;
   service?: string;
@@ -85,6 +89,8 @@
 
   private open = 0;
 
+  private unsent = 0;
+
   private readonly stopGuard: StopGuard;
 
   private idle: (() => void) | undefined;
@@ -99,6 +105,11 @@
     return this.open;
   }
 
+  /** Answers that are ready and wait behind others, or for their callers to read. */
+  public get unsentAnswers(): number {
+    return this.unsent;
+  }
+
   /**
    * Ends callers' connections with their next answer; what comes until then is served if it can end in
    * time.
@@ -150,7 +161,8 @@
    */
   public async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const began = this.services.clock.now();
-    const record: CallRecord = { outcome: 'answered' };
+    const turn = this.services.turnOf(response);
+    const record: CallRecord = { turn, outcome: 'answered' };
     this.open += 1;
     if (this.stopGuard.isStopping) response.setHeader('connection', 'close');
     try {
@@ -167,6 +179,10 @@
       const durationMs = this.services.clock.now() - began;
       this.services.report({ outcome: record.outcome, status: response.statusCode, durationMs });
       this.log(record, response.statusCode, durationMs);
+      this.unsent += 1;
+      void turn.left().then(() => {
+        this.unsent -= 1;
+      });
     }
   }
 
@@ -308,6 +324,8 @@
       allowedMs: record.allowedMs,
       waitedMs: record.waitedMs,
       acceptedAfterMs: record.acceptedAfterMs,
+      connection: record.turn.connection,
+      ahead: record.turn.ahead,
       attempts: record.call?.traces,
       unhedged: record.call?.unhedged,
     });
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -18,6 +18,16 @@
 import type { Priority } from '../version/Types';
 import type { CallFrame, RefusalFrame } from './channelFrames';
 
+/** The place of a request on its caller's connection, on which answers leave in the order of requests. */
+export interface Turn {
+  /** Number of the connection, unique in this process. */
+  readonly connection: number;
+  /** Requests before it whose answers hadn't left when it came. */
+  readonly ahead: number;
+  /** @returns Whether the whole answer was handed to the network, once it was or the connection closed. */
+  left(): Promise<boolean>;
+}
+
 /** Names of the headers that callers and upstreams use, in lower case. */
 export interface HeaderNames {
   /** On requests: the caller's id, passed on as it came. On answers: the same id, echoed. */
