Don't take a daemon that gives no connection in time for one that has ended

Callers got 502 long before their deadlines while their attempts ran on at a living daemon, where no retry budget was left, the attempts of the route were used up or the call was nested.

A probe that has no connection within 300 ms counted as "unreachable", as a refused one does, and two of them freed every call there that may run again. But the kernel drops the opening packet where the queue of new connections is full, and sends it again after seconds: a busy daemon looks the same as one without power. An answer with another status than 204, a connection that was accepted and then reset, and EHOSTUNREACH (a link that is down now) counted as an end too.

Evidence: BlockedDaemon is a real listener in a thread whose event loop stands still, its queue full. On the unchanged code the new tests show: a probe of it is "unreachable"; a call there "no budget: sends to busy, gives up at busy, fails: UnknownOutcomeError", "nested: (the same)", "no other upstream: sends to busy, gives up at busy, sends to busy" (a second run at the same place); probes answered 404 or reset after they were accepted are "unreachable". "a call at a daemon that has ended is given up at once" held before.

Change: a probe tells refused (unreachable), no connection in time (unconnected) and no answer (silent), and the log line has which. Only a refused connection proves an end: the listener for peers is closed in the turn in which the daemon ends, never before its calls. Calls at the others go on, beside second attempts as far as the budget allows; placement avoids all three at once, as before. What came on the channel counts as a sign of life in the later probes too, as it did in the first two.

A VM that lost power gives no proof. What it costs: calls that were under way there, no budget left, wait up to 8 s or to their deadline (504) instead of 502 after about 1 s; no new ones are placed there meanwhile.

Tests: three fakes of Liveness got the new method, and one call of onUnreachable its argument; one row (EHOSTUNREACH) is added to the table of PeerTransport; no expectation was changed.

--- a/src/connection/probeDaemon.test.ts
+++ b/src/connection/probeDaemon.test.ts
@@ -3,6 +3,7 @@
 import { createServer, type AddressInfo, type Server } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import BlockedDaemon from '../../stand-in/BlockedDaemon';
 import type { Address } from '../common/Types';
 import probeDaemon from './probeDaemon';
 
@@ -37,4 +38,27 @@
   sound.close();
 });
 
+test('a daemon whose queue of new connections is full is told from one that has ended', async () => {
+  const blocked = await BlockedDaemon.start();
+  const results = [await probeDaemon(blocked.address)];
+  blocked.release();
+  do results.push(await probeDaemon(blocked.address));
+  while (results.at(-1) !== 'answers');
+  await blocked.dispose();
+  results.push(await probeDaemon(blocked.address));
+  assert.equal([results[0], ...results.slice(-2)], ['unconnected', 'answers', 'unreachable']);
+});
+
+test('a daemon that answers a probe with something else, or breaks it off, has not ended', async () => {
+  const older = createHttpServer((_request, response) => response.writeHead(404).end());
+  const full = createServer((socket) => socket.destroy());
+  const results = [
+    await probeDaemon(await addressOf(older)),
+    await probeDaemon(await addressOf(full)),
+  ];
+  older.close();
+  full.close();
+  assert.equal(results, ['silent', 'silent']);
+});
+
 test.run();
--- a/src/connection/probeDaemon.ts
+++ b/src/connection/probeDaemon.ts
@@ -9,6 +9,8 @@
 /** Turns of the event loop in which what came in before the time-out is read. */
 const LAST_TURNS = 4;
 const ALIVE_STATUS = 204;
+/** Error of a connection that no process takes. */
+const REFUSED = 'ECONNREFUSED';
 
 /**
  * Asks a daemon for a sign of life on a connection of its own.
@@ -27,7 +29,7 @@
     const expire = async () => {
       // This daemon may be the one that is late.
       await nextTurns(LAST_TURNS);
-      end(connected ? 'silent' : 'unreachable');
+      end(connected ? 'silent' : 'unconnected');
     };
     const timer = setTimeout(() => void expire(), PROBE_TIMEOUT_MS);
     probe.once('socket', (socket) => {
@@ -37,11 +39,12 @@
     });
     probe.once('response', ({ statusCode }) => {
       clearTimeout(timer);
-      end(statusCode === ALIVE_STATUS ? 'answers' : 'unreachable');
+      end(statusCode === ALIVE_STATUS ? 'answers' : 'silent');
     });
-    probe.once('error', () => {
+    probe.once('error', ({ code }: NodeJS.ErrnoException) => {
       clearTimeout(timer);
-      resolve('unreachable');
+      if (connected) resolve('silent');
+      else resolve(code === REFUSED ? 'unreachable' : 'unconnected');
     });
     probe.end();
   });
--- a/src/request/Call.test.ts
+++ b/src/request/Call.test.ts
@@ -83,6 +83,7 @@
     isUnresponsive: () => false,
     heard: () => undefined,
     refused: () => undefined,
+    unconnected: () => undefined,
     watch: () => ({ dispose: () => undefined }),
   };
   const opened = { get: (address: string) => channels.get(address), leave: () => undefined };
--- a/src/request/PeerLiveness.test.ts
+++ b/src/request/PeerLiveness.test.ts
@@ -2,8 +2,8 @@
 import * as assert from 'uvu/assert';
 import { setTimeout as delay } from 'node:timers/promises';
 import SystemClock from '../common/SystemClock';
-import type { Address } from '../common/Types';
-import PeerLiveness from './PeerLiveness';
+import type { Address, LogFields, Logger } from '../common/Types';
+import PeerLiveness, { type ChannelSigns } from './PeerLiveness';
 import type { ProbeResult } from './Types';
 
 const PEER = 'peer:1' as Address;
@@ -11,9 +11,14 @@
 const SILENCE_MS = 20;
 const NO_CHANNEL = { ping: () => undefined, lastHeardAt: () => undefined };
 
-function livenessWith(probe: () => Promise<ProbeResult>): PeerLiveness {
-  const options = { silenceMs: SILENCE_MS };
-  return new PeerLiveness(probe, NO_CHANNEL, options, new SystemClock(), QUIET);
+function livenessWith(
+  probe: () => Promise<ProbeResult>,
+  options = {},
+  channels: ChannelSigns = NO_CHANNEL,
+  logger: Logger = QUIET,
+): PeerLiveness {
+  const settings = { silenceMs: SILENCE_MS, ...options };
+  return new PeerLiveness(probe, channels, settings, new SystemClock(), logger);
 }
 
 /** Notes what each of two calls is told. */
@@ -169,4 +174,77 @@
   liveness.dispose();
 });
 
+test('calls at a daemon to which no connection comes about go on, until it counts as gone', async () => {
+  let probes = 0;
+  let probesAtEnd = 0;
+  const told: string[] = [];
+  const lines: string[] = [];
+  const probe = async (): Promise<ProbeResult> => {
+    probes += 1;
+    // A single refusal, or a connection that came about, starts the count anew.
+    if (probes === 8) return 'unreachable';
+    return probes === 16 ? 'silent' : 'unconnected';
+  };
+  const logger = {
+    log: (_message: string, { state, reason }: LogFields = {}) => lines.push(`${state}: ${reason}`),
+  };
+  const liveness = livenessWith(probe, { returnProbeMs: 1 }, NO_CHANNEL, logger);
+  const [first, second] = watchers(told);
+  liveness.watch(PEER, first!);
+  liveness.watch(PEER, {
+    ...second!,
+    onUnreachable: (reason) => {
+      probesAtEnd ||= probes;
+      told.push(`b: ${reason}`);
+    },
+  });
+  await until(() => probesAtEnd > 0);
+  assert.is(probesAtEnd, 16 + 12);
+  assert.equal(
+    [...new Set(told)],
+    ['a: silent', 'b: silent', 'a: unreachable', 'b: no connection to it came about for 12 probes'],
+  );
+  assert.equal(lines, [
+    'unconnected: no connection to it came about in time',
+    'silent: it takes connections and answers no probe',
+    'unconnected: no connection to it came about in time',
+    'unreachable: no connection to it came about for 12 probes',
+  ]);
+  liveness.heard(PEER);
+  liveness.dispose();
+});
+
+test('a daemon whose channel shows life is not gone because no new connection comes about', async () => {
+  const clock = new SystemClock();
+  let heardAt: number | undefined;
+  const channels = { ping: () => undefined, lastHeardAt: () => heardAt };
+  let probes = 0;
+  const probe = async (): Promise<ProbeResult> => {
+    probes += 1;
+    await delay(1);
+    if (probes > 4) heardAt = clock.now();
+    return 'unconnected';
+  };
+  const told: string[] = [];
+  const liveness = livenessWith(probe, { returnProbeMs: 1 }, channels);
+  liveness.watch(PEER, watchers(told)[0]!);
+  await until(() => liveness.isUnresponsive(PEER));
+  await until(() => !liveness.isUnresponsive(PEER));
+  assert.equal([...new Set(told)], ['a: silent']);
+  liveness.dispose();
+});
+
+test('where the network knows no way to a daemon, its calls go on', () => {
+  const told: string[] = [];
+  const liveness = livenessWith(async () => 'unconnected');
+  liveness.watch(PEER, watchers(told)[0]!);
+  liveness.unconnected(PEER);
+  assert.ok(liveness.isUnresponsive(PEER));
+  assert.equal(told, ['a: silent']);
+  liveness.refused(PEER);
+  assert.equal(told, ['a: silent', 'a: unreachable']);
+  liveness.heard(PEER);
+  liveness.dispose();
+});
+
 test.run();
--- a/src/request/PeerLiveness.ts
+++ b/src/request/PeerLiveness.ts
@@ -9,19 +9,37 @@
  * share the load, the longer each is silent between two answers.
  */
 const PING_PART = 0.75;
-/** Probes without an answer, in a row, that make a daemon unresponsive; one may be dropped. */
+/** Probes of one kind, in a row, that a finding takes; one may be dropped. */
 const FAILED_PROBES = 2;
 /** Pause between probes of an unresponsive daemon, in milliseconds. */
 const RETURN_PROBE_MS = 400;
 /** Probes of an unresponsive daemon after which it is asked no more until a call goes to it. */
 const MAX_RETURN_PROBES = 150;
 
+/**
+ * Probes of an unresponsive daemon, in a row, to which no connection came about, after which it counts
+ * as gone: about 8 s. The longest that a living daemon left calls unread was 5.3 s; one whose queue of
+ * new connections is full takes some whenever its event loop turns. Their number counts, not the
+ * time, so that a hold-up of this daemon doesn't.
+ */
+const GONE_PROBES = 12;
+const REFUSES = 'it refuses connections';
+
 type Unresponsiveness = Exclude<ProbeResult, 'answers'>;
 
+/** How a daemon was found, for the log. */
+const FINDINGS: Readonly<Record<Unresponsiveness, string>> = {
+  silent: 'it takes connections and answers no probe',
+  unconnected: 'no connection to it came about in time',
+  unreachable: REFUSES,
+};
+
 /** Settings of the watch, in milliseconds. */
 export interface PeerLivenessOptions {
   /** Time without a sign of an awaited daemon after which it is probed. */
   readonly silenceMs: number;
+  /** Pause between probes of an unresponsive daemon. */
+  readonly returnProbeMs?: number;
 }
 
 /** The connections in use, where signs of life cost least. */
@@ -55,11 +73,15 @@
  * Finds daemons that stopped answering while calls wait for them.
  *
  * Load it answers: VMs that are cut off, frozen or without power, whose connections stay open and
- * silent. Waiting for each call's deadline would hold every call placed there; here the first
- * silence of a daemon starts a probe on a new connection, and all calls at an unreachable one are
- * freed at once. Long calls at daemons that are sound cost a ping on their channel.
- * A daemon that takes the connection and gives no answer is silent: it may be too busy, and what
- * was sent to it may be running. Its calls go on, beside second attempts where those are allowed.
+ * silent. The first silence of a daemon starts a probe on a new connection; new calls are placed
+ * elsewhere once it fails, and those that wait there get second attempts where these are allowed.
+ * Long calls at daemons that are sound cost a ping on their channel.
+ * What waits is given up only where no answer can come: where connections are refused, so that the
+ * process has ended. A daemon that takes the connection and gives no answer may be too busy; and one
+ * to which no connection comes about may have its queue of them full, as the kernel drops opening
+ * packets then. Both may be running what was sent to them. Only one to which none comes about for
+ * long counts as gone, so that calls with much time left come back to their callers while there
+ * is some; they are few, as they were all under way when it fell silent.
  */
 export default class PeerLiveness implements Liveness, Disposable {
   private readonly peers = new Map<Address, Peer>();
@@ -95,7 +117,12 @@
 
   public refused(address: Address): void {
     if (this.peer(address).state === 'unreachable') return;
-    this.suspend(address, 'unreachable', 'it takes no connection', this.clock.now());
+    this.suspend(address, 'unreachable', REFUSES, this.clock.now());
+  }
+
+  public unconnected(address: Address): void {
+    if (this.isUnresponsive(address)) return;
+    this.suspend(address, 'unconnected', 'the network knows no way to it', this.clock.now());
   }
 
   public watch(address: Address, watcher: PeerWatcher): Disposable {
@@ -141,7 +168,7 @@
     peer.probing = true;
     const heardAt = this.heardAt(address);
     const askedAt = this.clock.now();
-    let state: Unresponsiveness = 'unreachable';
+    let state: Unresponsiveness = 'unconnected';
     try {
       for (let failed = 0; failed < FAILED_PROBES; failed += 1) {
         const result = await this.probe(address);
@@ -151,14 +178,15 @@
         }
         // What came on the channel meanwhile says as much as an answer to the probe.
         if (this.heardAt(address) > heardAt) return;
-        if (result === 'silent') state = 'silent';
+        // One that took a connection lives, whatever became of the other.
+        if (state !== 'silent') state = result;
       }
     } finally {
       peer.probing = false;
     }
     // A connection that was refused meanwhile says more.
     if (this.isUnresponsive(address)) return;
-    this.suspend(address, state, 'it did not answer probes', askedAt);
+    this.suspend(address, state, FINDINGS[state], askedAt);
   }
 
   private suspend(
@@ -186,37 +214,54 @@
     Object.assign(peer, { state });
     for (const { since, watcher } of [...peer.watches]) {
       if (since > askedAt) continue;
-      if (state === 'silent') watcher.onSilent();
-      else watcher.onUnreachable();
+      if (state === 'unreachable') watcher.onUnreachable(reason);
+      else watcher.onSilent();
     }
   }
 
   private async awaitReturn(address: Address): Promise<void> {
     const peer = this.peer(address);
     peer.awaited = true;
-    let unreachable = 0;
+    let last: ProbeResult | undefined;
+    let inRow = 0;
     for (let probes = 0; probes < MAX_RETURN_PROBES && this.isUnresponsive(address); probes += 1) {
       await new Promise((resolve) => {
-        setTimeout(resolve, RETURN_PROBE_MS).unref();
+        setTimeout(resolve, this.options.returnProbeMs ?? RETURN_PROBE_MS).unref();
       });
       if (this.disposed) return;
       if (!this.isUnresponsive(address)) break;
       const askedAt = this.clock.now();
       const result = await this.probe(address);
-      unreachable = result === 'unreachable' ? unreachable + 1 : 0;
-      if (result === 'answers') this.found(address);
-      // An answer to a call meanwhile says as much as one to the probe.
-      else if (!this.isUnresponsive(address)) break;
-      else if (result === 'silent') this.note(address, result, 'it answers no probe', askedAt);
-      else if (unreachable >= FAILED_PROBES) {
-        this.note(address, result, 'it takes no connection', askedAt);
-      }
+      // What came on the channel meanwhile says as much as an answer to the probe.
+      if (result === 'answers' || this.heardAt(address) > askedAt) this.found(address);
+      if (result === 'answers' || !this.isUnresponsive(address)) break;
+      inRow = result === last ? inRow + 1 : 1;
+      last = result;
+      this.noteFailed(address, result, inRow, askedAt);
     }
     peer.awaited = false;
     // It may have left for good; a call that comes to it finds out anew.
     if (this.isUnresponsive(address)) this.peers.delete(address);
   }
 
+  /** @param inRow - Probes in a row with this result. */
+  private noteFailed(
+    address: Address,
+    result: Unresponsiveness,
+    inRow: number,
+    askedAt: number,
+  ): void {
+    const { state } = this.peer(address);
+    if (result === 'unconnected' && inRow >= GONE_PROBES) {
+      const reason = `no connection to it came about for ${GONE_PROBES} probes`;
+      this.note(address, 'unreachable', reason, askedAt);
+    } else if (result === 'silent' || inRow >= FAILED_PROBES) {
+      this.note(address, result, FINDINGS[result], askedAt);
+    } else if (state === 'silent' || state === 'unconnected') {
+      this.note(address, state, FINDINGS[state], askedAt);
+    }
+  }
+
   private found(address: Address): void {
     const peer = this.peer(address);
     peer.heardAt = this.clock.now();
--- a/src/request/PeerTransport.test.ts
+++ b/src/request/PeerTransport.test.ts
@@ -44,6 +44,7 @@
     isUnresponsive: () => false,
     heard: () => undefined,
     refused: () => events.push('the daemon is lost'),
+    unconnected: () => events.push('no way to the daemon'),
     watch: () => ({ dispose: () => undefined }),
   };
   const transport = new PeerTransport(channels, fence, liveness, 60_000, clock);
@@ -65,6 +66,7 @@
     `the channel ended: ${await sent(true, new ExchangeError('ended', true))}`,
     `the channel ended, may run once: ${await sent(false, new ExchangeError('ended', true))}`,
     `never sent: ${await sent(false, new ExchangeError('no', false, false, 'ECONNREFUSED'))}`,
+    `no way: ${await sent(false, new ExchangeError('no', false, false, 'EHOSTUNREACH'))}`,
   ];
   assert.snapshot(
     rows.join('\n'),
@@ -74,7 +76,8 @@
 given up, others are answered: UnknownOutcomeError
 the channel ended: UnknownOutcomeError
 the channel ended, may run once: asks what became of it, NotRunError
-never sent: the daemon is lost, NotRunError`,
+never sent: the daemon is lost, NotRunError
+no way: no way to the daemon, NotRunError`,
   );
 });
 
@@ -109,8 +112,9 @@
     isUnresponsive: () => !reachable,
     heard: () => undefined,
     refused: () => undefined,
+    unconnected: () => undefined,
     watch: (_address: unknown, { onUnreachable }: PeerWatcher) => {
-      if (!reachable) onUnreachable();
+      if (!reachable) onUnreachable('it refuses connections');
       return { dispose: () => undefined };
     },
   };
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -27,8 +27,10 @@
  * held for frozen rather than busy.
  */
 const MAX_UNANSWERED = 3;
-/** Socket errors of connections that were never opened. */
-const UNREACHABLE_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH']);
+/** Socket error where no process takes connections. */
+const REFUSED = 'ECONNREFUSED';
+/** Socket error where the network knows no way to a VM, as while it is cut off. */
+const NO_WAY = 'EHOSTUNREACH';
 
 /**
  * What the question after an attempt comes to: its state; or that the daemon is a newer incarnation,
@@ -109,11 +111,13 @@
       giveUp(PeerTransport.lost('never sent: the daemon stopped answering'));
     const life = this.liveness.watch(upstream.address, {
       onSilent: () => (call.isSent() ? onSilent?.() : giveUpUnsent()),
-      onUnreachable: () => {
+      onUnreachable: (reason) => {
         watch.unreachable = true;
         if (!call.isSent()) giveUpUnsent();
         // What may run once has nothing to gain by being given up.
-        else if (context.idempotent) giveUp(new UnknownOutcomeError('the daemon is unreachable'));
+        else if (context.idempotent) {
+          giveUp(new UnknownOutcomeError(`the daemon is unreachable: ${reason}`));
+        }
       },
     });
     try {
@@ -145,9 +149,8 @@
   ): Promise<Error> {
     // Nobody waits for what became of a call that was given up, and the other daemon is told.
     if (error.aborted) return new UnknownOutcomeError('the call was given up');
-    if (error.code !== undefined && UNREACHABLE_CODES.has(error.code)) {
-      this.liveness.refused(upstream.address);
-    }
+    if (error.code === REFUSED) this.liveness.refused(upstream.address);
+    else if (error.code === NO_WAY) this.liveness.unconnected(upstream.address);
     return this.resolve(upstream, context, error);
   }
 
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -181,7 +181,7 @@
    * @param context - What travels with it.
    * @param signal - Cancels it.
    * @param onSilent - Called, perhaps again and again, while the upstream's daemon gives no sign of
-   * life though it can be reached. The attempt goes on and may still be answered.
+   * life though it isn't known to have ended. The attempt goes on and may still be answered.
    * @returns The answer's head.
    * @throws NotRunError - It is proved that the upstream didn't run it.
    * @throws UnknownOutcomeError - It may have run.
@@ -265,16 +265,22 @@
 
 /**
  * What a probe of a daemon showed. A silent one takes connections, so it lives: it is too busy to
- * answer, or frozen. An unreachable one has ended, lost power or is cut off.
+ * answer, or frozen. With an unconnected one no connection came about in time: its queue of new
+ * connections is full, so that opening packets are dropped; or it lost power, or is cut off. An
+ * unreachable one refuses connections: its process has ended, and what was under way there with it.
  */
-export type ProbeResult = 'answers' | 'silent' | 'unreachable';
+export type ProbeResult = 'answers' | 'silent' | 'unconnected' | 'unreachable';
 
 /** Is told of a daemon whose answer is awaited. */
 export interface PeerWatcher {
-  /** It was found silent; called again as long as it is. */
+  /** It gives no sign of life, and may yet answer; called again as long as that is so. */
   onSilent(): void;
-  /** It was found unreachable; called again as long as it is. */
-  onUnreachable(): void;
+  /**
+   * No answer of it is to be expected; called again as long as that is so.
+   *
+   * @param reason - What shows that.
+   */
+  onUnreachable(reason: string): void;
 }
 
 /** Watches whether other daemons answer at all. */
@@ -286,8 +292,10 @@
   isUnresponsive(address: Address): boolean;
   /** @param address - A daemon that has just answered something. */
   heard(address: Address): void;
-  /** @param address - A daemon that refused a connection. */
+  /** @param address - A daemon that refused a connection, so that its process has ended. */
   refused(address: Address): void;
+  /** @param address - A daemon to which the network knows no way now. */
+  unconnected(address: Address): void;
   /**
    * Watches a daemon while an answer of it is awaited.
    *
--- a/src/request/silentDaemon.test.ts
+++ b/src/request/silentDaemon.test.ts
@@ -1,8 +1,10 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { setTimeout as delay } from 'node:timers/promises';
+import BlockedDaemon from '../../stand-in/BlockedDaemon';
 import SystemClock from '../common/SystemClock';
 import type { Address } from '../common/Types';
+import probeDaemon from '../connection/probeDaemon';
 import Call, { type CallServices, type CallTerms } from './Call';
 import type CallChannels from './CallChannels';
 import CancelSource from './CancelSource';
@@ -11,7 +13,7 @@
 import PeerTransport from './PeerTransport';
 import type RetryBudget from './RetryBudget';
 import StreamedAnswer from './StreamedAnswer';
-import type { Balancer, CallRequest, Upstream } from './Types';
+import type { Balancer, CallRequest, ProbeResult, Upstream } from './Types';
 
 const SILENCE_MS = 20;
 const REQUEST = { method: 'GET', path: '/', headers: [], body: null } as unknown as CallRequest;
@@ -26,8 +28,22 @@
   return { daemon: address, address, incarnation: 1 } as unknown as Upstream;
 }
 
-/** Makes a call to a daemon that takes connections but is too busy to answer on them for a while. */
-async function callThroughSilence({ spare, budget }: { spare: boolean; budget: boolean }) {
+/** What a call may do, and what probes of the daemon that it was sent to show for a while. */
+interface SilentCase {
+  readonly spare: boolean;
+  readonly budget: boolean;
+  /** Attempts that the levels above made. */
+  readonly above?: number;
+  readonly probe?: () => Promise<ProbeResult>;
+}
+
+/** Makes a call to a daemon that is too busy to answer probes for a while. */
+async function callThroughSilence({
+  spare,
+  budget,
+  above = 0,
+  probe = async () => 'silent',
+}: SilentCase) {
   const clock = new SystemClock();
   const events: string[] = [];
   const answers = new Map<string, (status: number) => void>();
@@ -58,7 +74,7 @@
   } as unknown as CallChannels;
   let silent = true;
   const liveness = new PeerLiveness(
-    async (address: Address) => (silent && address === 'busy' ? 'silent' : 'answers'),
+    async (address: Address) => (silent && address === 'busy' ? probe() : 'answers'),
     { ping: () => undefined, lastHeardAt: () => undefined },
     { silenceMs: SILENCE_MS },
     clock,
@@ -85,7 +101,14 @@
   } as unknown as CallServices;
   const allowance = { deposit: () => undefined, withdraw: () => budget };
   const times = { deadline: clock.now() + 60_000, objective: clock.now() + 60_000 };
-  const call = new Call(REQUEST, TERMS, services, allowance as unknown as RetryBudget, times, 0);
+  const call = new Call(
+    REQUEST,
+    TERMS,
+    services,
+    allowance as unknown as RetryBudget,
+    times,
+    above,
+  );
   let ended = false;
   const answer = call.run(new CancelSource()).then(
     ({ status }) => `is answered ${status}`,
@@ -118,4 +141,38 @@
   );
 });
 
+test('a call at a daemon whose queue of new connections is full is not given up', async () => {
+  const blocked = await BlockedDaemon.start();
+  const probe = () => probeDaemon(blocked.address);
+  const rows = [
+    `no other upstream: ${await callThroughSilence({ spare: false, budget: true, probe })}`,
+    `no budget: ${await callThroughSilence({ spare: true, budget: false, probe })}`,
+    `nested: ${await callThroughSilence({ spare: true, budget: true, above: 2, probe })}`,
+    `with budget: ${await callThroughSilence({ spare: true, budget: true, probe })}`,
+  ];
+  await blocked.dispose();
+  assert.snapshot(
+    rows.join('\n'),
+    `no other upstream: sends to busy, is answered 200
+no budget: sends to busy, is answered 200
+nested: sends to busy, is answered 200
+with budget: sends to busy, sends to spare, is answered 200`,
+  );
+});
+
+test('a call at a daemon that has ended is given up at once, and made elsewhere', async () => {
+  const blocked = await BlockedDaemon.start();
+  await blocked.dispose();
+  const probe = () => probeDaemon(blocked.address);
+  const rows = [
+    `no budget: ${await callThroughSilence({ spare: true, budget: false, probe })}`,
+    `with budget: ${await callThroughSilence({ spare: true, budget: true, probe })}`,
+  ];
+  assert.snapshot(
+    rows.join('\n'),
+    `no budget: sends to busy, gives up at busy, fails: UnknownOutcomeError
+with budget: sends to busy, gives up at busy, sends to spare, is answered 200`,
+  );
+});
+
 test.run();
