Make another attempt where the daemons of all that are open are silent

Since calls at a daemon that gives no connection go on, a call whose second attempt went to a daemon that lost power together with the first one waited for both, to its deadline: hedgedAttempt looked for another only where one was open.

Now a sign of silence asks for another attempt where all that are open have shown it. The route's retries and the shared budget bound their number as before, and the delay of a straggler still makes one only.

The tests of hedgedAttempt (8) and silentDaemon (3) pass.

--- a/src/request/hedgedAttempt.test.ts
+++ b/src/request/hedgedAttempt.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import CancelSource from './CancelSource';
 import hedgedAttempt, { type Attempt } from './hedgedAttempt';
 import type { Answer } from './Types';
 
@@ -130,4 +131,37 @@
   assert.is(await answer.catch(({ message }: Error) => message), 'given up');
 });
 
+test('a third attempt is made where the daemons of both others are silent', async () => {
+  const { attempt, ends } = pair();
+  const signs: (() => void)[] = [];
+  const noted: Attempt = (cancel, onSilent) => {
+    signs.push(onSilent);
+    return attempt(cancel, onSilent);
+  };
+  const answer = hedgedAttempt(noted, () => noted, 60_000, new CancelSource());
+  signs[0]!();
+  assert.is(ends.length, 2);
+  signs[0]!();
+  assert.is(ends.length, 2, 'the second one may be answered yet');
+  signs[1]!();
+  assert.is(ends.length, 3);
+  ends[2]!.resolve(new FakeAnswer('third'));
+  assert.is(((await answer) as FakeAnswer).name, 'third');
+});
+
+test('the delay of a straggler makes no third attempt', async () => {
+  const { attempt, ends } = pair();
+  let sign: () => void = () => undefined;
+  const first: Attempt = (cancel, onSilent) => {
+    sign = onSilent;
+    return attempt(cancel, onSilent);
+  };
+  const answer = hedgedAttempt(first, () => attempt, 0, new CancelSource());
+  await bothOpen(ends);
+  sign();
+  assert.is(ends.length, 2);
+  ends[0]!.resolve(new FakeAnswer('first'));
+  assert.is(((await answer) as FakeAnswer).name, 'first');
+});
+
 test.run();
--- a/src/request/hedgedAttempt.ts
+++ b/src/request/hedgedAttempt.ts
@@ -14,12 +14,15 @@
 
 /**
  * Runs an attempt, and a second one beside it where the first takes long or its upstream falls
- * silent. The first answer wins and the other attempt is cancelled.
+ * silent. The first answer wins and the others are cancelled.
+ *
+ * Load it answers for more than two: VMs that lose power together, where the second attempt goes to one
+ * that isn't known to be silent yet.
  *
  * @param first - The attempt.
- * @param second - Gives the second attempt, or `undefined` where none may be made now; is told
- * whether the upstream of the first is silent. It is asked again at each sign of that, also after a
- * second attempt has failed.
+ * @param second - Gives another attempt, or `undefined` where none may be made now; is told whether
+ * the upstreams of all that are open are silent. It is asked again at each sign of that, also after
+ * a second attempt has failed.
  * @param delayMs - After how many milliseconds the second one starts.
  * @param signal - Cancels both.
  * @returns The first answer.
@@ -33,16 +36,22 @@
 ): Promise<Answer> {
   return new Promise((resolve, reject) => {
     const open = new Set<CancelSource>();
+    /** Those of the open ones whose upstreams were silent. */
+    const silent = new Set<CancelSource>();
     let timer: NodeJS.Timeout;
     let won = false;
     const start = async (attempt: Attempt): Promise<void> => {
       const cancel = new CancelSource();
       const leave = () => cancel.abort(signal.reason);
       signal.addEventListener('abort', leave, { once: true });
+      const noteSilent = () => {
+        silent.add(cancel);
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- both call each other
+        if ([...open].every((other) => silent.has(other))) startAnother(true);
+      };
       open.add(cancel);
       try {
-        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- both call each other
-        const answer = await attempt(cancel, () => startSecond(true));
+        const answer = await attempt(cancel, noteSilent);
         open.delete(cancel);
         if (won) {
           answer.dispose();
@@ -60,14 +69,14 @@
         reject(error);
       }
     };
-    const startSecond = (silent: boolean) => {
-      if (won || signal.aborted || open.size !== 1) return;
-      const attempt = second(silent);
+    const startAnother = (isSilent: boolean) => {
+      if (won || signal.aborted || open.size === 0) return;
+      const attempt = second(isSilent);
       if (!attempt) return;
       clearTimeout(timer);
       void start(attempt);
     };
-    timer = setTimeout(() => startSecond(false), delayMs);
+    timer = setTimeout(() => startAnother(false), delayMs);
     void start(first);
   });
 }
