Refuse a large body in chunks instead of ending the process

A caller that sent a body in chunks which grew over the limit ended the daemon: the product's shapes test then can't connect any more (before: `connect ECONNREFUSED`; uvu ends early with `TypeError: Cannot read properties of null (reading 'destroySoon')` at CallHandler.ts:167). Every call under way there was lost, and nobody handles an uncaught error.

Cause: leaving the loop over the message destroys it, and node's message then destroys its socket, with the answers of the requests before it, and forgets it; the handler asked that socket for its end once its refusal had left. The limit by Content-Length, which the test had, is checked before the loop.

The loop now leaves the message as it is, and the refusal announces the close, after which node ends the connection by itself. Both tests failed as told and pass; the shapes test has one shape more.

--- /dev/null
+++ b/src/process/callerPipeline.test.ts
@@ -0,0 +1,191 @@
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
+import { text } from 'node:stream/consumers';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import SystemClock from '../common/SystemClock';
+import type { Address } from '../common/Types';
+import CallHandler, { type CallHandlerServices } from '../request/CallHandler';
+import NotRunError from '../request/NotRunError';
+import StreamedAnswer from '../request/StreamedAnswer';
+import type { CallRequest, CancelSignal, Upstream } from '../request/Types';
+import Listener from './Listener';
+
+const MAX_BODY_BYTES = 1_000;
+
+async function until(what: string, condition: () => boolean): Promise<void> {
+  const deadline = performance.now() + 30_000;
+  while (!condition()) {
+    if (performance.now() > deadline) throw new Error(`never happened: ${what}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 1);
+    });
+  }
+}
+
+/** Callers, a daemon's listener and its handler, and an upstream that answers when told. */
+class Pipeline {
+  public readonly begun: string[] = [];
+
+  public readonly cancelled: string[] = [];
+
+  public readonly refused: string[] = [];
+
+  public readonly calls: CallHandler;
+
+  public readonly callers: Socket[] = [];
+
+  public readonly accepted: Socket[] = [];
+
+  private readonly runs = new Map<string, (answer: StreamedAnswer) => void>();
+
+  private address!: Address;
+
+  public constructor(public readonly listener: Listener) {
+    const route = { name: 'r', retries: 0, objectiveMs: 60_000, timeoutMs: 60_000, targets: [] };
+    const target = { service: 's', weight: 1 };
+    Object.assign(route, { targets: [target] });
+    const snapshot = {
+      match: () => route,
+      head: { version: 1 },
+      configuration: { services: new Map([['s', { name: 's', slots: 1 }]]), retryBudget: 1 },
+      shortestObjectiveMs: 60_000,
+    };
+    const upstream = { service: 's', daemon: 'd' } as unknown as Upstream;
+    this.calls = new CallHandler({
+      versions: { snapshot },
+      directory: { upstreams: () => [upstream] },
+      balancer: {
+        choose: () => upstream,
+        begin: () => undefined,
+        end: () => undefined,
+        latencyMs: () => undefined,
+        known: () => undefined,
+      },
+      transport: {
+        send: (
+          _upstream: Upstream,
+          request: CallRequest,
+          _context: unknown,
+          signal: CancelSignal,
+        ) => this.run(request.path, signal),
+      },
+      clock: new SystemClock(),
+      names: {},
+      limits: { maxBodyBytes: () => MAX_BODY_BYTES, maxOpenCalls: 1_000 },
+      allowance: { windowMs: () => 1, slack: () => 0, maxShare: () => 0 },
+      logger: { log: () => undefined },
+      report: () => undefined,
+      guard: { refuses: () => false },
+      acceptedAfterMs: () => 0,
+      turnOf: (response: never) => listener.turnOf(response),
+      isCurrent: () => true,
+      lagMs: () => 0,
+      waitedMs: () => 0,
+      incarnation: () => 1,
+      nextAttempt: () => 1,
+      onAttempt: () => undefined,
+      advice: { whenFull: () => 0, whenUnready: () => 0 },
+    } as unknown as CallHandlerServices);
+    listener.handle((message, response) => void this.calls.handle(message, response));
+    listener.server.on('connection', (socket: Socket) => this.accepted.push(socket));
+    listener.server.on('clientError', ({ code }: NodeJS.ErrnoException) =>
+      this.refused.push(code!),
+    );
+  }
+
+  public async start(): Promise<void> {
+    this.address = await this.listener.listen('127.0.0.1:0' as Address);
+  }
+
+  /** @param bytes - Sent on a new connection. */
+  public async caller(bytes: string): Promise<Socket> {
+    const socket = connect(Number(this.address.split(':')[1]), '127.0.0.1');
+    this.callers.push(socket);
+    socket.on('error', () => undefined);
+    await once(socket, 'connect');
+    socket.write(bytes);
+    return socket;
+  }
+
+  /** Waits until requests with these paths are under way. */
+  public async running(...paths: string[]): Promise<void> {
+    await until(`${paths.join()} run`, () => paths.every((path) => this.runs.has(path)));
+  }
+
+  /** Begins to answer the request with a path. */
+  public head(path: string, bytes: number): StreamedAnswer {
+    const source = {
+      paused: false,
+      pause: () => undefined,
+      resume: () => undefined,
+      abort: () => undefined,
+    };
+    const answer = new StreamedAnswer(200, { 'content-length': String(bytes) }, source);
+    this.runs.get(path)!(answer);
+    return answer;
+  }
+
+  /** Answers the request with a path, whose body is the path without the slash. */
+  public answer(path: string): void {
+    const answer = this.head(path, path.length - 1);
+    answer.push(Buffer.from(path.slice(1)));
+    answer.complete();
+  }
+
+  public dispose(): void {
+    for (const caller of this.callers) caller.destroy();
+    this.listener.dispose();
+  }
+
+  private run(path: string, signal: CancelSignal): Promise<StreamedAnswer> {
+    this.begun.push(path);
+    return new Promise((resolve, reject) => {
+      this.runs.set(path, resolve);
+      signal.addEventListener('abort', () => {
+        this.cancelled.push(path);
+        reject(new NotRunError('cancelled'));
+      });
+    });
+  }
+}
+
+async function withPipeline(
+  play: (pipeline: Pipeline) => Promise<void>,
+  listener = new Listener(),
+): Promise<void> {
+  const pipeline = new Pipeline(listener);
+  try {
+    await pipeline.start();
+    await play(pipeline);
+  } finally {
+    pipeline.dispose();
+  }
+}
+
+/** @returns Of each answer up to the connection's end the status and body, and where a close is announced. */
+async function answersOf(socket: Socket): Promise<string[]> {
+  const all = await Promise.race([text(socket), once(socket, 'error').then(() => 'reset')]);
+  return all.split(/(?=HTTP\/1\.1 )/).map((answer) => {
+    const [head = '', body = ''] = answer.split('\r\n\r\n');
+    const status = head.split('\r\n', 1)[0]!.replace('HTTP/1.1 ', '');
+    const close = /^connection: close\r?$/im.test(head) ? ', close' : '';
+    return `${status}: ${status.startsWith('200') ? body : ''}${close}`;
+  });
+}
+
+const LARGE_BODY = 'a'.repeat(2 * MAX_BODY_BYTES);
+
+for (const [name, rest] of Object.entries({
+  announced: `Content-Length: ${LARGE_BODY.length}\r\n\r\n${LARGE_BODY.slice(1)}`,
+  chunked: `Transfer-Encoding: chunked\r\n\r\n${LARGE_BODY.length.toString(16)}\r\n${LARGE_BODY}`,
+})) {
+  const request = `POST /b HTTP/1.1\r\nHost: mesh\r\n${rest}`;
+  test(`a large ${name} body is refused`, () =>
+    withPipeline(async (pipeline) => {
+      const seen = answersOf(await pipeline.caller(request));
+      assert.equal(await seen, ['413 Payload Too Large: , close']);
+    }));
+}
+
+test.run();
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -170,9 +170,9 @@
     } catch (error) {
       const refusal = this.refusalOf(error as Error);
       Object.assign(record, { outcome: refusal.outcome, reason: refusal.reason });
-      refuseCall(refusal, response);
       // What is left of a refused body isn't read; the connection can't be used again.
-      if (!message.complete) response.once('finish', () => message.socket.destroySoon());
+      if (!message.complete && !response.headersSent) response.setHeader('connection', 'close');
+      refuseCall(refusal, response);
     } finally {
       this.open -= 1;
       if (this.open === 0) this.idle?.();
--- a/src/request/readRequest.ts
+++ b/src/request/readRequest.ts
@@ -27,7 +27,8 @@
   }
   const chunks: Buffer[] = [];
   let bytes = 0;
-  for await (const chunk of message) {
+  // Leaving the loop must not destroy the message: its connection, and answers before it, would end too.
+  for await (const chunk of message.iterator({ destroyOnReturn: false })) {
     bytes += (chunk as Buffer).length;
     if (bytes > maxBytes) throw new RequestError(413, `a body of more than ${maxBytes} bytes`);
     chunks.push(chunk as Buffer);
--- a/test/requestShapes.test.ts
+++ b/test/requestShapes.test.ts
@@ -34,6 +34,7 @@
   'absolute target': `GET http://other/stock HTTP/1.1\r\n${HOST}${CLOSE}\r\n`,
   'headers too large': `GET /stock HTTP/1.1\r\n${HOST}X-Large: ${'a'.repeat(20_000)}\r\n${CLOSE}\r\n`,
   'body too large': `POST /stock HTTP/1.1\r\n${HOST}${CLOSE}Content-Length: 99999999\r\n\r\n`,
+  'body too large, in chunks': `POST /stock HTTP/1.1\r\n${HOST}${CLOSE}Transfer-Encoding: chunked\r\n\r\n200000\r\n${'a'.repeat(2 ** 20 + 1)}`,
   'no HTTP': `hello\r\n\r\n`,
   'no route': `GET /nothing HTTP/1.1\r\n${HOST}${CLOSE}\r\n`,
 };
@@ -71,6 +72,7 @@
 absolute target: 400 Bad Request, not-run
 headers too large: 431 Request Header Fields Too Large, not-run
 body too large: 413 Payload Too Large, not-run
+body too large, in chunks: 413 Payload Too Large, not-run
 no HTTP: 400 Bad Request, not-run
 no route: 404 Not Found, not-run`,
     );
