Don't cut off an attempt because the one beside it was answered with a failure

An upstream's 500, 502 or 503 to one of two attempts won like an answer: the other was cut off ("the call was given up" in the trace, "aborted" at its upstream) with its time left, and without budget or retries the caller got the failure though the attempt that was cut off might have been answered well.

Now a failure is kept while others are open, asks for another attempt beside them (as far as route and budget allow, as the retry after it did before), and is passed on where they come to nothing better.

Evidence: three tests of hedgedAttempt failed on the code before: the other attempt was cancelled; no third was made; the failure won over what came later. With the change the tests of hedgedAttempt (11), Call (2) and silentDaemon (3) pass.

--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -4,6 +4,7 @@
 import hedgedAttempt, { type Attempt } from './hedgedAttempt';
 import isIdempotent from './isIdempotent';
 import NotRunError from './NotRunError';
+import RETRIED_STATUSES from './retriedStatuses';
 import type RetryBudget from './RetryBudget';
 import settleCloses from './settleCloses';
 import type {
@@ -33,8 +34,6 @@
 const MIN_RESCUE_MS = 1_000;
 /** Daemons that a call is offered to before it is refused; their refusals cost no upstream. */
 const MAX_OFFERS = 2;
-/** Statuses with which an upstream says that it failed, so that another may do better. */
-const RETRIED_STATUSES = new Set([500, 502, 503]);
 const NONE: ReadonlySet<DaemonId> = new Set();
 
 /** What every call uses. */
--- a/src/request/hedgedAttempt.test.ts
+++ b/src/request/hedgedAttempt.test.ts
@@ -7,13 +7,14 @@
 const NEVER = new AbortController().signal;
 
 class FakeAnswer implements Answer {
-  public readonly status = 200;
-
   public readonly headers = {};
 
   public disposed = false;
 
-  public constructor(public readonly name: string) {}
+  public constructor(
+    public readonly name: string,
+    public readonly status = 200,
+  ) {}
 
   public pipe(): Promise<void> {
     return Promise.resolve();
@@ -164,4 +165,51 @@
   assert.is(((await answer) as FakeAnswer).name, 'first');
 });
 
+test('an answer that is a failure does not cancel the attempt that may be answered better', async () => {
+  const { attempt, ends, cancelled } = pair();
+  const seconds: Attempt[] = [attempt];
+  const answer = hedgedAttempt(attempt, () => seconds.pop(), 0, new CancelSource());
+  await bothOpen(ends);
+  const failure = new FakeAnswer('failure', 500);
+  ends[1]!.resolve(failure);
+  await new Promise(setImmediate);
+  assert.equal(cancelled, [false, false]);
+  ends[0]!.resolve(new FakeAnswer('first'));
+  assert.is(((await answer) as FakeAnswer).name, 'first');
+  assert.ok(failure.disposed);
+});
+
+test('an answer that is a failure is followed by another attempt beside the open one', async () => {
+  const { attempt, ends, cancelled } = pair();
+  const answer = hedgedAttempt(attempt, () => attempt, 0, new CancelSource());
+  await bothOpen(ends);
+  ends[1]!.resolve(new FakeAnswer('failure', 500));
+  await new Promise(setImmediate);
+  assert.is(ends.length, 3);
+  ends[2]!.resolve(new FakeAnswer('third'));
+  assert.is(((await answer) as FakeAnswer).name, 'third');
+  assert.equal(cancelled, [true, false, false]);
+});
+
+test('an answer that is a failure is passed on if the other attempt comes to nothing better', async () => {
+  const rows: string[] = [];
+  for (const end of ['failure', 'error'] as const) {
+    const { attempt, ends } = pair();
+    const seconds: Attempt[] = [attempt];
+    const answer = hedgedAttempt(attempt, () => seconds.pop(), 0, new CancelSource());
+    await bothOpen(ends);
+    ends[1]!.resolve(new FakeAnswer('the second one', 503));
+    await new Promise(setImmediate);
+    if (end === 'error') ends[0]!.reject(new Error('the daemon ended'));
+    else ends[0]!.resolve(new FakeAnswer('the first one', 500));
+    const { name, status, disposed } = (await answer) as FakeAnswer;
+    rows.push(`${end}: ${name}, ${status}, ${disposed ? 'given up' : 'open'}`);
+  }
+  assert.snapshot(
+    rows.join('\n'),
+    `failure: the first one, 500, open
+error: the second one, 503, open`,
+  );
+});
+
 test.run();
--- a/src/request/hedgedAttempt.ts
+++ b/src/request/hedgedAttempt.ts
@@ -1,4 +1,5 @@
 import CancelSource from './CancelSource';
+import RETRIED_STATUSES from './retriedStatuses';
 import type { Answer, CancelSignal } from './Types';
 
 /** Abort reason of an attempt whose other one was answered. A reason saves making an error. */
@@ -14,7 +15,7 @@
 
 /**
  * Runs an attempt, and a second one beside it where the first takes long or its upstream falls
- * silent. The first answer wins and the others are cancelled.
+ * silent. The first answer that isn't a failure wins and the others are cancelled.
  *
  * Load it answers for more than two: VMs that lose power together, where the second attempt goes to one
  * that isn't known to be silent yet.
@@ -22,11 +23,11 @@
  * @param first - The attempt.
  * @param second - Gives another attempt, or `undefined` where none may be made now; is told whether
  * the upstreams of all that are open are silent. It is asked again at each sign of that, also after
- * a second attempt has failed.
+ * a second attempt has failed, and once for each answer that is a failure while others are open.
  * @param delayMs - After how many milliseconds the second one starts.
  * @param signal - Cancels both.
- * @returns The first answer.
- * @throws What the last attempt to fail threw.
+ * @returns The first answer that isn't a failure, or else the last one.
+ * @throws What the last attempt to fail threw, where there was no answer.
  */
 export default function hedgedAttempt(
   first: Attempt,
@@ -40,6 +41,8 @@
     const silent = new Set<CancelSource>();
     let timer: NodeJS.Timeout;
     let won = false;
+    /** The last answer that is a failure, while others may do better. */
+    let failure: Answer | undefined;
     const start = async (attempt: Attempt): Promise<void> => {
       const cancel = new CancelSource();
       const leave = () => cancel.abort(signal.reason);
@@ -57,6 +60,13 @@
           answer.dispose();
           return;
         }
+        failure?.dispose();
+        if (RETRIED_STATUSES.has(answer.status) && open.size > 0) {
+          failure = answer;
+          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- both call each other
+          startAnother(false);
+          return;
+        }
         won = true;
         clearTimeout(timer);
         for (const other of open) other.abort(SUPERSEDED);
@@ -66,7 +76,8 @@
         signal.removeEventListener('abort', leave);
         if (open.size > 0) return;
         clearTimeout(timer);
-        reject(error);
+        if (failure) resolve(failure);
+        else reject(error);
       }
     };
     const startAnother = (isSilent: boolean) => {
