Say for whom a call was given up

Each way in which an attempt ends before its answer is now a row of one test of PeerTransport. It shows that daemons found silent, unconnected or unreachable, ended connections, fence verdicts and unsent calls have reasons of their own, and only the cancel signal leads to this text. By reading, that signal comes from three places only: the close of the caller's socket and the passed deadline (CallHandler.withDeadline; there the deadline's own 504 settles first), and hedgedAttempt once another attempt was answered. The reason now names which of the three it was; "unreachable" names its finding for unsent calls too.

Evidence: the test failed in the rows of the two signals ("the call was given up", no more) and, as the text changed, in that of the unsent call at a daemon that refuses. All three tests of PeerTransport pass.

--- a/src/request/PeerTransport.test.ts
+++ b/src/request/PeerTransport.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import ManualClock from '../../stand-in/ManualClock';
 import type CallChannels from './CallChannels';
+import CALLER_LEFT from './callerLeft';
 import CancelSource from './CancelSource';
 import ExchangeError from './ExchangeError';
 import PeerTransport, { type FenceReply } from './PeerTransport';
@@ -144,4 +145,84 @@
   );
 });
 
+/** Whether a call was sent, may run again, and what questions after it bring. */
+interface CallState {
+  readonly sent?: boolean;
+  readonly idempotent?: boolean;
+  readonly fence?: FenceReply;
+}
+
+/** Sends a call that is sent, or not yet, and lets something happen to it. */
+async function failureOf(
+  happening: (parts: { cancel: CancelSource; peer: PeerWatcher; end: () => void }) => void,
+  { sent: isSent = true, idempotent = true, fence = 'running' }: CallState = {},
+): Promise<string> {
+  const cancel = new CancelSource();
+  let peer: PeerWatcher | undefined;
+  let reject: (error: Error) => void = () => undefined;
+  const abort = () => reject(new ExchangeError('aborted', isSent, true));
+  const channels = {
+    get: () => ({
+      lastHeardAt: 0,
+      send: () => {
+        const reply = new Promise((_resolve, fail) => {
+          reject = fail;
+        });
+        cancel.addEventListener('abort', abort);
+        return { reply, isSent: () => isSent, abort };
+      },
+    }),
+    leave: () => undefined,
+  } as unknown as CallChannels;
+  const liveness = {
+    isUnresponsive: () => false,
+    heard: () => undefined,
+    refused: () => undefined,
+    unconnected: () => undefined,
+    watch: (_address: unknown, watcher: PeerWatcher) => {
+      peer = watcher;
+      return { dispose: () => undefined };
+    },
+  };
+  const transport = new PeerTransport(channels, async () => fence, liveness, 1, new ManualClock());
+  const context = { idempotent, deadline: 60_000 } as AttemptContext;
+  const answer = transport.send(UPSTREAM, REQUEST, context, cancel);
+  const end = () => reject(new ExchangeError('the connection was closed', isSent));
+  happening({ cancel, peer: peer!, end });
+  return answer.then(String, ({ name, message }: Error) => `${name}: ${message}`);
+}
+
+test('what ends a call before its answer shows in its reason; only who waits for it gives it up', async () => {
+  const nothing = () => undefined;
+  const rows = [
+    await failureOf(({ cancel }) => cancel.abort(CALLER_LEFT)),
+    await failureOf(({ cancel }) => cancel.abort(new Error('it stops'))),
+    await failureOf(({ peer }) => peer.onUnreachable('it refuses connections')),
+    await failureOf(({ peer }) => peer.onUnreachable('it refuses connections'), { sent: false }),
+    await failureOf(({ peer }) => peer.onSilent(), { sent: false }),
+    await failureOf(({ end }) => end()),
+    await failureOf(({ end }) => end(), { sent: false }),
+    await failureOf(({ end }) => end(), { idempotent: false }),
+    await failureOf(nothing, { fence: 'done' }),
+    await failureOf(nothing, { fence: 'forbidden' }),
+    await failureOf(nothing, { fence: 'replaced' }),
+    await failureOf(nothing, { fence: 'unanswered' }),
+  ];
+  assert.snapshot(
+    rows.join('\n'),
+    `UnknownOutcomeError: the call was given up: the caller left
+UnknownOutcomeError: the call was given up: it stops
+UnknownOutcomeError: the daemon is unreachable: it refuses connections
+NotRunError: never sent: the daemon is unreachable: it refuses connections
+NotRunError: never sent: the daemon stopped answering
+UnknownOutcomeError: the connection was closed
+NotRunError: never sent: the connection was closed
+UnknownOutcomeError: the connection was closed; the attempt is running
+UnknownOutcomeError: the connection fell silent; the attempt is done
+NotRunError: the connection fell silent; the attempt was fenced off
+UnknownOutcomeError: the connection fell silent; the attempt is unresolved
+UnknownOutcomeError: the connection fell silent; the attempt is unresolved`,
+  );
+});
+
 test.run();
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -107,17 +107,15 @@
       call.abort();
     };
     const watch = this.watch(upstream, context, giveUp);
-    const giveUpUnsent = () =>
-      giveUp(PeerTransport.lost('never sent: the daemon stopped answering'));
+    const giveUpUnsent = (reason: string) => giveUp(PeerTransport.lost(`never sent: ${reason}`));
     const life = this.liveness.watch(upstream.address, {
-      onSilent: () => (call.isSent() ? onSilent?.() : giveUpUnsent()),
+      onSilent: () => (call.isSent() ? onSilent?.() : giveUpUnsent('the daemon stopped answering')),
       onUnreachable: (reason) => {
         watch.unreachable = true;
-        if (!call.isSent()) giveUpUnsent();
+        const found = `the daemon is unreachable: ${reason}`;
+        if (!call.isSent()) giveUpUnsent(found);
         // What may run once has nothing to gain by being given up.
-        else if (context.idempotent) {
-          giveUp(new UnknownOutcomeError(`the daemon is unreachable: ${reason}`));
-        }
+        else if (context.idempotent) giveUp(new UnknownOutcomeError(found));
       },
     });
     try {
@@ -128,7 +126,7 @@
       if (verdict) throw verdict;
       if (!(error instanceof ExchangeError)) throw error;
       if (error.aborted) this.suspect(upstream, channel, sentAt);
-      throw await this.explain(upstream, context, error);
+      throw await this.explain(upstream, context, error, signal);
     } finally {
       clearTimeout(watch.timer);
       watch.stopped = true;
@@ -146,9 +144,13 @@
     upstream: Upstream,
     context: AttemptContext,
     error: ExchangeError,
+    { reason }: CancelSignal,
   ): Promise<Error> {
     // Nobody waits for what became of a call that was given up, and the other daemon is told.
-    if (error.aborted) return new UnknownOutcomeError('the call was given up');
+    if (error.aborted) {
+      const why = typeof reason === 'symbol' ? reason.description : (reason as Error)?.message;
+      return new UnknownOutcomeError(`the call was given up: ${why}`);
+    }
     if (error.code === REFUSED) this.liveness.refused(upstream.address);
     else if (error.code === NO_WAY) this.liveness.unconnected(upstream.address);
     return this.resolve(upstream, context, error);
--- a/src/request/hedgedAttempt.ts
+++ b/src/request/hedgedAttempt.ts
@@ -3,7 +3,7 @@
 import type { Answer, CancelSignal } from './Types';
 
 /** Abort reason of an attempt whose other one was answered. A reason saves making an error. */
-const SUPERSEDED = Symbol('superseded');
+const SUPERSEDED = Symbol('another attempt was answered');
 
 /**
  * Runs one attempt until it is answered, fails or is cancelled.
