Let a stopping daemon end a connection only behind its last request

Two requests sent behind each other on one connection, of 600 and 200 ms, to a daemon that has got SIGTERM: both began at the upstream, the first was answered with `Connection: close`, and node ended the connection behind it. The second ran and its caller got no answer. A request that was under way as the stop began was answered without a word of the close.

Cause: the handler set the header as a request came, and didn't know of others on its connection. An answer that is ready now waits in the handler until those before it have left, and only then, its head still unwritten, is it known whether something behind it was begun (CallerTurn). If not, it announces the close and the connection begins nothing more: what comes behind such an answer counts as unread and is sent again. A refusal of a body that isn't whole ends its connection by the same way, so that a body that came whole while its refusal waited keeps the connection.

An answer that waits is not written into node's own queue, so that one that breaks off there, and a caller that leaves, is seen in one place; its body is held back at the same bound as before. `heldMs` of the call's line says how long it waited; the duration leaves that out, as it did.

--- a/src/connection/CallerTurn.ts
+++ b/src/connection/CallerTurn.ts
@@ -1,43 +1,46 @@
-import type { ServerResponse } from 'node:http';
+import Fact from '../common/Fact';
 import type { Turn } from '../request/Types';
 import type CallerConnection from './CallerConnection';
 
 /** The place of one request on its caller's connection. */
 export default class CallerTurn implements Turn {
-  public readonly ahead: number;
+  private readonly came = new Fact();
 
-  /** Whether the whole answer was handed to the network; `undefined` until that is known. */
-  private delivered: boolean | undefined;
-
-  private readonly waiting: ((delivered: boolean) => void)[] = [];
+  private readonly delivered = new Fact();
 
   /**
    * @param line - Its connection.
-   * @param response - Its answer.
    * @param ahead - Requests before it whose answers haven't left.
    */
   public constructor(
     private readonly line: CallerConnection,
-    public readonly response: ServerResponse,
-    ahead: number,
-  ) {
-    this.ahead = ahead;
-  }
+    public readonly ahead: number,
+  ) {}
 
   public get connection(): number {
     return this.line.id;
   }
 
+  public due(): Promise<boolean> {
+    return this.came.known;
+  }
+
   public left(): Promise<boolean> {
-    if (this.delivered !== undefined) return Promise.resolve(this.delivered);
-    return new Promise((resolve) => {
-      this.waiting.push(resolve);
-    });
+    return this.delivered.known;
+  }
+
+  public close(): boolean {
+    return this.line.closeWith(this);
+  }
+
+  /** The answers before it have left. */
+  public begin(): void {
+    this.came.settle(true);
   }
 
-  /** @param delivered - Whether the whole answer was handed to the network. */
+  /** @param delivered - Whether its whole answer was handed to the network. */
   public end(delivered: boolean): void {
-    this.delivered = delivered;
-    for (const resolve of this.waiting.splice(0)) resolve(delivered);
+    this.came.settle(delivered);
+    this.delivered.settle(delivered);
   }
 }
--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -104,7 +104,13 @@
   }
 
   private dispatch(message: IncomingMessage, response: ServerResponse): void {
-    this.turns.set(response, this.connections.get(message.socket)!.take(response));
+    const turn = this.connections.get(message.socket)!.take(response);
+    if (!turn) {
+      // Read on, so that the caller's close is seen.
+      message.resume();
+      return;
+    }
+    this.turns.set(response, turn);
     if (this.handler) {
       this.handler(message, response);
       return;
--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -11,8 +11,14 @@
 import type { CallRequest, CancelSignal, Upstream } from '../request/Types';
 import Listener from './Listener';
 
+/** End of a stop, in ms, that no test comes to. */
+const LONG_AFTER = Number.MAX_SAFE_INTEGER;
 const MAX_BODY_BYTES = 1_000;
 
+function get(path: string, headers = ''): string {
+  return `GET ${path} HTTP/1.1\r\nHost: mesh\r\n${headers}\r\n`;
+}
+
 async function until(what: string, condition: () => boolean): Promise<void> {
   const deadline = performance.now() + 30_000;
   while (!condition()) {
@@ -174,6 +180,57 @@
   });
 }
 
+for (const stops of ['before', 'after']) {
+  for (const order of [
+    ['/a', '/b'],
+    ['/b', '/a'],
+  ]) {
+    test(`a stop ${stops} they came answers requests behind each other, ready in the order ${order.join()}`, () =>
+      withPipeline(async (pipeline) => {
+        if (stops === 'before') pipeline.calls.stop(LONG_AFTER);
+        const caller = await pipeline.caller(get('/a') + get('/b'));
+        await pipeline.running('/a', '/b');
+        pipeline.calls.stop(LONG_AFTER);
+        const answers = answersOf(caller);
+        for (const path of order) pipeline.answer(path);
+        assert.equal(await answers, ['200 OK: a', '200 OK: b, close']);
+      }));
+  }
+}
+
+test('a stop answers a request that comes while the answer before it waits its turn', () =>
+  withPipeline(async (pipeline) => {
+    pipeline.calls.stop(LONG_AFTER);
+    const caller = await pipeline.caller(get('/a') + get('/b'));
+    await pipeline.running('/a', '/b');
+    pipeline.answer('/b');
+    caller.write(get('/c'));
+    await pipeline.running('/c');
+    const answers = answersOf(caller);
+    pipeline.answer('/a');
+    pipeline.answer('/c');
+    assert.equal(await answers, ['200 OK: a', '200 OK: b', '200 OK: c, close']);
+  }));
+
+test('a request that comes behind an answer which closes its connection is not begun', () =>
+  withPipeline(async (pipeline) => {
+    pipeline.calls.stop(LONG_AFTER);
+    const caller = await pipeline.caller(get('/a'));
+    await pipeline.running('/a');
+    const answer = pipeline.head('/a', 2);
+    answer.push(Buffer.from('a'));
+    const [head] = (await once(caller, 'data')) as [Buffer];
+    assert.match(head.toString(), /connection: close/i);
+    caller.write(get('/b'));
+    const sent = get('/a').length + get('/b').length;
+    await until('it is read', () => pipeline.accepted[0]!.bytesRead === sent);
+    const answers = text(caller);
+    answer.push(Buffer.from('a'));
+    answer.complete();
+    assert.is(await answers, 'a');
+    assert.equal(pipeline.begun, ['/a']);
+  }));
+
 const LARGE_BODY = 'a'.repeat(2 * MAX_BODY_BYTES);
 
 for (const [name, rest] of Object.entries({
@@ -186,6 +243,31 @@
       const seen = answersOf(await pipeline.caller(request));
       assert.equal(await seen, ['413 Payload Too Large: , close']);
     }));
+  test(`a large ${name} body behind a request is refused after that is answered`, () =>
+    withPipeline(async (pipeline) => {
+      const caller = await pipeline.caller(get('/a') + request);
+      await pipeline.running('/a');
+      const seen = answersOf(caller);
+      await until('it is refused', () => pipeline.calls.unsentAnswers > 0 || caller.closed);
+      if (!caller.closed) pipeline.answer('/a');
+      assert.equal(await seen, ['200 OK: a', '413 Payload Too Large: , close']);
+      assert.equal(pipeline.cancelled, []);
+    }));
 }
 
+test('a refused body that came whole while its refusal waited neither ends the daemon nor what follows', () =>
+  withPipeline(async (pipeline) => {
+    const caller = await pipeline.caller(
+      `${get('/a')}POST /b HTTP/1.1\r\nHost: mesh\r\nContent-Length: ${LARGE_BODY.length}\r\n\r\n`,
+    );
+    await pipeline.running('/a');
+    await until('it is refused', () => pipeline.calls.unsentAnswers > 0);
+    caller.write(LARGE_BODY + get('/c', 'Connection: close\r\n'));
+    await pipeline.running('/c');
+    const seen = answersOf(caller);
+    pipeline.answer('/a');
+    pipeline.answer('/c');
+    assert.equal(await seen, ['200 OK: a', '413 Payload Too Large: ', '200 OK: c, close']);
+  }));
+
 test.run();
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -69,6 +69,8 @@
 /** What the log line of a call tells. */
 interface CallRecord {
   readonly turn: Turn;
+  /** How long its ready answer waited for those before it on its connection. */
+  heldMs?: number;
   requestId?: RequestId;
   route?: string;
   service?: string;
@@ -164,22 +166,16 @@
     const turn = this.services.turnOf(response);
     const record: CallRecord = { turn, outcome: 'answered' };
     this.open += 1;
-    if (this.stopGuard.isStopping) response.setHeader('connection', 'close');
     try {
       await this.answer(message, response, record);
     } catch (error) {
-      const refusal = this.refusalOf(error as Error);
-      Object.assign(record, { outcome: refusal.outcome, reason: refusal.reason });
-      // What is left of a refused body isn't read; the connection can't be used again.
-      if (!message.complete && !response.headersSent) response.setHeader('connection', 'close');
-      refuseCall(refusal, response);
+      await this.refuse(this.refusalOf(error as Error), message, response, record);
     } finally {
       this.open -= 1;
       if (this.open === 0) this.idle?.();
-      const durationMs = this.services.clock.now() - began;
+      const durationMs = this.services.clock.now() - began - (record.heldMs ?? 0);
       this.services.report({ outcome: record.outcome, status: response.statusCode, durationMs });
       this.log(record, response.statusCode, durationMs);
-      this.unsent += 1;
       void turn.left().then(() => {
         this.unsent -= 1;
       });
@@ -217,8 +213,7 @@
     if (!route) {
       const refusal = this.noRoute();
       if (refusal.status === 503) throw new NotRunError(refusal.reason, { unready: true });
-      Object.assign(record, { outcome: refusal.outcome, reason: refusal.reason });
-      refuseCall(refusal, response);
+      await this.refuse(refusal, message, response, record);
       return;
     }
     const service = this.dealers.next(route);
@@ -268,9 +263,41 @@
     });
     const answer = await CallHandler.withDeadline(message, leftMs, (signal) => call.run(signal));
     this.stopGuard.note(terms.route, clock.now() - arrivedAt);
-    if (!(await relayAnswer(answer, response, names))) {
-      Object.assign(record, { reason: 'the answer broke off, or the caller left' });
+    if (!(await this.takeTurn(message, response, record))) answer.dispose();
+    else if (await relayAnswer(answer, response, names)) return;
+    Object.assign(record, { reason: 'the answer broke off, or the caller left' });
+  }
+
+  private async refuse(
+    refusal: Refusal,
+    message: IncomingMessage,
+    response: ServerResponse,
+    record: CallRecord,
+  ): Promise<void> {
+    Object.assign(record, { outcome: refusal.outcome, reason: refusal.reason });
+    if (await this.takeTurn(message, response, record)) refuseCall(refusal, response);
+  }
+
+  /**
+   * Waits until an answer that is ready can be written. Only then it is known whether it may end the
+   * connection: what comes until then is begun.
+   */
+  private async takeTurn(
+    message: IncomingMessage,
+    response: ServerResponse,
+    record: CallRecord,
+  ): Promise<boolean> {
+    const { clock } = this.services;
+    const readyAt = clock.now();
+    if (record.heldMs === undefined) this.unsent += 1;
+    const due = await record.turn.due();
+    Object.assign(record, { heldMs: clock.now() - readyAt });
+    // What is left of a refused body isn't read; the connection can't be used again.
+    const ends = this.stopGuard.isStopping || !message.complete;
+    if (due && ends && !response.headersSent && record.turn.close()) {
+      response.setHeader('connection', 'close');
     }
+    return due;
   }
 
   /** Runs a call until it is answered, its time ends, or its caller leaves. */
@@ -326,6 +353,7 @@
       acceptedAfterMs: record.acceptedAfterMs,
       connection: record.turn.connection,
       ahead: record.turn.ahead,
+      heldMs: Math.round(record.heldMs ?? 0),
       attempts: record.call?.traces,
       unhedged: record.call?.unhedged,
     });
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -24,6 +24,14 @@
   readonly connection: number;
   /** Requests before it whose answers hadn't left when it came. */
   readonly ahead: number;
+  /** @returns Whether the answer can be written, once those before it left or the connection closed. */
+  due(): Promise<boolean>;
+  /**
+   * Ends the connection with the answer, whose head isn't written yet.
+   *
+   * @returns Whether it ends; it doesn't where a request behind it was begun.
+   */
+  close(): boolean;
   /** @returns Whether the whole answer was handed to the network, once it was or the connection closed. */
   left(): Promise<boolean>;
 }
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -1,4 +1,6 @@
 import { cpSync, mkdirSync, writeFileSync } from 'node:fs';
+import { connect } from 'node:net';
+import { text } from 'node:stream/consumers';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import Fleet, { eventually } from '../stand-in/Fleet';
@@ -109,4 +111,54 @@
   }
 });
 
+test('a daemon that stops answers requests that were sent behind each other', async () => {
+  const fleet = new Fleet();
+  try {
+    await fleet.startLog();
+    const far = await fleet.startDaemon({
+      name: 'far',
+      zone: 'coq',
+      extra: { daemon: 'leave = "60s"\ndrain = "90s"' },
+    });
+    await fleet.startUpstream('stock', far);
+    const folder = fleet.path('folder');
+    cpSync('examples/association', folder, { recursive: true });
+    await fleet.command(['publish', folder, '--log', fleet.log]);
+    const { calls } = far.ready.listening;
+    const url = `http://${calls}/stock/x`;
+    await eventually('it is served', async () => (await fetch(url)).status === 200);
+    far.child.kill('SIGTERM');
+    await eventually('it stops', async () => {
+      const answer = await fetch(url);
+      return answer.headers.get('connection') === 'close';
+    });
+    const [host, port] = calls.split(':');
+    const socket = connect(Number(port), host);
+    for (const [id, workMs] of [
+      ['first', 600],
+      ['second', 200],
+    ]) {
+      socket.write(
+        `GET /stock/x?work=${workMs} HTTP/1.1\r\nHost: mesh\r\nX-Call-Id: ${id}\r\n\r\n`,
+      );
+    }
+    const answers = (await text(socket)).split(/(?=HTTP\/1\.1 )/);
+    assert.equal(
+      answers.map((answer) => [
+        /first|second/.exec(answer)?.[0],
+        /^connection: close/im.test(answer),
+      ]),
+      [
+        ['first', false],
+        ['second', true],
+      ],
+    );
+    // A second signal ends it at once.
+    far.child.kill('SIGTERM');
+    await eventually('it has ended', () => far.child.exitCode !== null);
+  } finally {
+    await fleet.dispose();
+  }
+});
+
 test.run();
