Answer what a stop gives up, so that ready answers behind it leave

Cause: answers leave in the order of the requests. The one ahead still ran when the daemon ended, and the end closed the connection with both.

Change: calls that still run at the end of a stop are answered as unknown and their attempts are cancelled (CallHandler.giveUp); what waits behind them leaves then. `Stopped.` has the number of calls that were left behind.

--- a/src/process/Daemon.test.ts
+++ b/src/process/Daemon.test.ts
@@ -11,9 +11,9 @@
   onGone: () => void = () => undefined,
 ): DaemonParts {
   return {
-    calls: Object.assign(calls, { stop: () => undefined }),
+    calls: Object.assign(calls, { stop: () => undefined, giveUp: () => undefined }),
     registration: { drain: async () => undefined },
-    readiness: { stop: () => undefined },
+    readiness: { stop: () => undefined, giveUp: () => undefined },
     callListener: { stopAccepting: () => undefined },
     members: { updateSelf: onGone },
     resources: { dispose: () => events.push('everything is released') },
--- a/src/process/Daemon.ts
+++ b/src/process/Daemon.ts
@@ -22,6 +22,8 @@
 const LENT_PART = 0.5;
 /** Time for the last news of this daemon to leave, in milliseconds. */
 const FAREWELL_MS = 100;
+/** Time for the answers of calls that were given up, and of those behind them, to leave, in ms. */
+const LAST_ANSWERS_MS = 100;
 
 /** Addresses at which a daemon listens. */
 export interface DaemonAddresses {
@@ -113,7 +115,10 @@
     await sleep(FAREWELL_MS);
     // A connection that was open without a request may have brought one.
     await this.finish(calls.whenIdle(), deadline);
-    logger.log('Stopped.', { openCalls: calls.openCalls, unsentAnswers: calls.unsentAnswers });
+    const leftBehind = calls.openCalls;
+    calls.giveUp();
+    await this.finish(calls.whenIdle(), clock.now() + LAST_ANSWERS_MS);
+    logger.log('Stopped.', { leftBehind, unsentAnswers: calls.unsentAnswers });
     this.dispose();
     await this.running;
   }
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -4,6 +4,7 @@
 import type { CurrentVersion, Route } from '../version/Types';
 import Call, { type CallServices, type CallTerms } from './Call';
 import { ATTEMPTS_HEADER, positiveHeader } from './callHeaders';
+import type CallError from './CallError';
 import CALLER_LEFT from './callerLeft';
 import CancelSource from './CancelSource';
 import DeadlineError from './DeadlineError';
@@ -30,7 +31,6 @@
 import waitingTime from './waitingTime';
 
 const MAX_DEPTH_ATTEMPTS = 1_000;
-const DEADLINE_PASSED = Symbol('the deadline passed');
 
 /** Bounds on callers' requests. */
 export interface CallLimits {
@@ -93,6 +93,9 @@
 
   private unsent = 0;
 
+  /** End the calls whose answers are awaited. */
+  private readonly pending = new Set<(error: CallError) => void>();
+
   private readonly stopGuard: StopGuard;
 
   private idle: (() => void) | undefined;
@@ -122,6 +125,13 @@
     this.stopGuard.stop(endsAt);
   }
 
+  /** Answers every call that is open, at once and as unknown. */
+  public giveUp(): void {
+    for (const end of [...this.pending]) {
+      end(new UnknownOutcomeError('this daemon ended before the call did'));
+    }
+  }
+
   /** Resolves once no call is open. */
   public async whenIdle(): Promise<void> {
     if (this.open === 0) return;
@@ -261,7 +271,7 @@
       allowedMs: Math.round(allowedMs),
       call,
     });
-    const answer = await CallHandler.withDeadline(message, leftMs, (signal) => call.run(signal));
+    const answer = await this.withDeadline(message, leftMs, (signal) => call.run(signal));
     this.stopGuard.note(terms.route, clock.now() - arrivedAt);
     if (!(await this.takeTurn(message, response, record))) answer.dispose();
     else if (await relayAnswer(answer, response, names)) return;
@@ -300,8 +310,8 @@
     return due;
   }
 
-  /** Runs a call until it is answered, its time ends, or its caller leaves. */
-  private static async withDeadline(
+  /** Runs a call until it is answered, its time or this daemon ends, or its caller leaves. */
+  private async withDeadline(
     message: IncomingMessage,
     allowedMs: number,
     run: (signal: CancelSignal) => Promise<Answer>,
@@ -314,23 +324,30 @@
     if (socket.destroyed) leave();
     let timer: NodeJS.Timeout | undefined;
     let late = false;
+    let end: (error: CallError) => void = () => undefined;
     try {
       const running = run(cancel);
-      const deadline = new Promise<never>((_resolve, reject) => {
-        timer = setTimeout(() => {
+      const ended = new Promise<never>((_resolve, reject) => {
+        end = (error) => {
           late = true;
-          cancel.abort(DEADLINE_PASSED);
-          reject(new DeadlineError('no answer came in time'));
-        }, waitingTime(allowedMs));
+          cancel.abort(error);
+          reject(error);
+        };
       });
+      this.pending.add(end);
+      timer = setTimeout(
+        () => end(new DeadlineError('no answer came in time')),
+        waitingTime(allowedMs),
+      );
       // What the call comes to after its time has ended has no taker.
       running.then(
         (answer) => late && answer.dispose(),
         () => undefined,
       );
-      return await Promise.race([running, deadline]);
+      return await Promise.race([running, ended]);
     } finally {
       clearTimeout(timer);
+      this.pending.delete(end);
       socket.off('close', leave);
     }
   }
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import Fleet, { eventually } from '../stand-in/Fleet';
-import { ledgerOf, startDaemons } from './support';
+import { folderOf, ledgerOf, publish, startDaemons, writeFolder } from './support';
 
 const ZONES = ['coq', 'coq', 'rogers', 'rogers'];
 
@@ -161,4 +161,41 @@
   }
 });
 
+test('a ready answer behind a call that outlasts the stop is lost with it', async () => {
+  const fleet = new Fleet();
+  try {
+    await fleet.startLog();
+    const [daemon] = await startDaemons(fleet, ['coq']);
+    const stopping = await fleet.startDaemon({
+      name: 'stopping',
+      zone: 'coq',
+      extra: { daemon: 'leave = "100ms"\ndrain = "1s"' },
+    });
+    const upstream = await fleet.startUpstream('stock', daemon!);
+    await publish(fleet, writeFolder(fleet, 'folder', folderOf(['stock'], 'first')));
+    const { calls } = stopping.ready.listening;
+    const url = `http://${calls}/stock`;
+    await eventually('it is served', async () => (await fetch(url)).status === 200);
+    const [host, port] = calls.split(':');
+    const socket = connect(Number(port), host);
+    for (const [id, work] of Object.entries({ endless: 600_000, ready: 0 })) {
+      socket.write(`GET /stock?work=${work} HTTP/1.1\r\nHost: mesh\r\nx-call-id: ${id}\r\n\r\n`);
+    }
+    await eventually('both run', async () => {
+      const ran = (await ledgerOf(upstream.ready.port)).map(({ id }) => id);
+      return ran.includes('endless') && ran.includes('ready');
+    });
+    stopping.child.kill('SIGTERM');
+    const received = await text(socket);
+    assert.equal(received.match(/(?<=^HTTP\/1.1 )\d+|(?<=^x-azurestream-outcome: )\S+/gm), [
+      '502',
+      'unknown',
+      '200',
+      'answered',
+    ]);
+  } finally {
+    await fleet.dispose();
+  }
+});
+
 test.run();
