Refuse what is no request behind the answers that come before it

Bytes that are no request, headers that are too large, a malformed body and a head or body that doesn't come in time were answered at once with 400, 431 or 408, past node's queue of answers, and the connection ended. With a request under way before them on the connection, the caller read the refusal as that one's answer, while the upstream ran it to its end. The same befell one that asked for `Connection: close` and was followed by another.

The connection now waits until the requests before are answered, refuses and ends. A request whose rest can't come is refused in its own place of node's queue. The answers ahead announce no close, and nothing is begun behind the refusal; more bytes that can't be read change nothing. A caller that closes its side within a request counts as having left as soon as anything else of it is under way, as it does between requests; its calls are cancelled. Who doesn't close after a refusal is cut 1 s later; that had been left to the next check of time-outs.

--- a/src/connection/CallerConnection.ts
+++ b/src/connection/CallerConnection.ts
@@ -1,13 +1,23 @@
-import type { ServerResponse } from 'node:http';
+import { STATUS_CODES, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { OUTCOME_HEADER } from '../request/callHeaders';
 import CallerTurn from './CallerTurn';
 
+/** How long a refused caller may take to close its side, in ms; bytes that are unread at the end reset it. */
+const LINGER_MS = 1_000;
+
+const REFUSAL_HEADERS = {
+  [OUTCOME_HEADER]: 'not-run',
+  connection: 'close',
+  'content-length': '0',
+};
+
 /** A caller's connection, whose requests are answered in the order in which they came. */
 export default class CallerConnection {
   /** Requests whose answers haven't left, in order. */
   private readonly turns: CallerTurn[] = [];
 
-  /** Whether some answer announced the end of the connection. */
+  /** Whether some answer announced the end of the connection, or a refusal will. */
   private closing = false;
 
   /**
@@ -16,19 +26,20 @@
    */
   public constructor(
     public readonly id: number,
-    socket: Socket,
+    private readonly socket: Socket,
   ) {
     socket.once('close', () => this.close());
   }
 
   /**
-   * @param response - Where the answer to a request that was just read goes.
+   * @param message - A request whose head was just read.
+   * @param response - Where its answer goes.
    * @returns The place of the request; `undefined` where it came too late to be begun.
    * @see {@link https://www.rfc-editor.org/rfc/rfc9112#section-9.6}
    */
-  public take(response: ServerResponse): CallerTurn | undefined {
+  public take(message: IncomingMessage, response: ServerResponse): CallerTurn | undefined {
     if (this.closing) return undefined;
-    const turn = new CallerTurn(this, this.turns.length);
+    const turn = new CallerTurn(this, message, response, this.turns.length);
     this.turns.push(turn);
     if (this.turns[0] === turn) turn.begin();
     response.once('finish', () => this.finish(turn));
@@ -40,11 +51,42 @@
    * @returns Whether it does: nothing behind it was begun, and nothing will be.
    */
   public closeWith(turn: CallerTurn): boolean {
-    if (this.turns.at(-1) !== turn) return false;
+    if (this.closing || this.turns.at(-1) !== turn) return false;
     this.closing = true;
     return true;
   }
 
+  /**
+   * Refuses what is no request, or doesn't come whole, once the requests before it are answered, and
+   * ends the connection.
+   *
+   * @param status - HTTP status.
+   */
+  public refuse(status: number): void {
+    if (this.closing) return;
+    this.closing = true;
+    const last = this.turns.at(-1);
+    if (!last) this.endWith(status);
+    else if (!last.refuseRest(status, REFUSAL_HEADERS)) {
+      void last.left().then((delivered) => delivered && this.endWith(status));
+    }
+  }
+
+  /** The caller closed its side within a request, so that it can't be told from one that left. */
+  public breakOff(status: number): void {
+    if (this.turns.length > 1 || this.turns[0]?.isWhole) this.socket.destroySoon();
+    else this.refuse(status);
+  }
+
+  private endWith(status: number): void {
+    // Node ends the connection of a caller that asked for it.
+    if (!this.socket.writable) return;
+    const headers = Object.entries(REFUSAL_HEADERS).map(([name, value]) => `${name}: ${value}\r\n`);
+    this.socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${headers.join('')}\r\n`);
+    const timer = setTimeout(() => this.socket.destroy(), LINGER_MS).unref();
+    this.socket.once('close', () => clearTimeout(timer));
+  }
+
   /** @param turn - Its answer was handed to the network. */
   private finish(turn: CallerTurn): void {
     const index = this.turns.indexOf(turn);
--- a/src/connection/CallerTurn.ts
+++ b/src/connection/CallerTurn.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import Fact from '../common/Fact';
 import type { Turn } from '../request/Types';
 import type CallerConnection from './CallerConnection';
@@ -10,10 +11,14 @@
 
   /**
    * @param line - Its connection.
+   * @param message - The request.
+   * @param response - Its answer.
    * @param ahead - Requests before it whose answers haven't left.
    */
   public constructor(
     private readonly line: CallerConnection,
+    private readonly message: IncomingMessage,
+    private readonly response: ServerResponse,
     public readonly ahead: number,
   ) {}
 
@@ -21,6 +26,11 @@
     return this.line.id;
   }
 
+  /** Whether all of the request has come. */
+  public get isWhole(): boolean {
+    return this.message.complete;
+  }
+
   public due(): Promise<boolean> {
     return this.came.known;
   }
@@ -33,6 +43,20 @@
     return this.line.closeWith(this);
   }
 
+  /**
+   * Answers in its place a request whose rest can't come.
+   *
+   * @param status - HTTP status.
+   * @param headers - Of the answer, which has no body.
+   * @returns Whether it is such a request.
+   */
+  public refuseRest(status: number, headers: Readonly<Record<string, string>>): boolean {
+    if (this.isWhole || this.response.headersSent) return false;
+    this.response.writeHead(status, headers);
+    this.response.end();
+    return true;
+  }
+
   /** The answers before it have left. */
   public begin(): void {
     this.came.settle(true);
--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -12,21 +12,13 @@
 import { OUTCOME_HEADER } from '../request/callHeaders';
 import type { Turn } from '../request/Types';
 
-const MALFORMED_STATUS: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+const MALFORMED_STATUS = 400;
+const UNREADABLE_STATUS: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
-
-function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const status = MALFORMED_STATUS[error.code ?? ''] ?? '400 Bad Request';
-  socket.end(
-    `HTTP/1.1 ${status}\r\n${OUTCOME_HEADER}: not-run\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
-  );
-}
+/** The caller closed its side before its request was whole. */
+const CUT_SHORT = 'HPE_INVALID_EOF_STATE';
 
 /** A listening HTTP server whose handler can be set after its port is known. */
 export default class Listener implements Disposable {
@@ -47,7 +39,7 @@
       (message, response) => this.dispatch(message, response),
     );
     this.server.on('connection', (socket) => this.accept(socket));
-    this.server.on('clientError', refuseMalformed);
+    this.server.on('clientError', (error, socket) => this.refuse(error, socket as Socket));
   }
 
   /**
@@ -103,8 +95,18 @@
     this.connections.set(socket, new CallerConnection(this.accepted, socket));
   }
 
+  private refuse({ code }: NodeJS.ErrnoException, socket: Socket): void {
+    if (code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const connection = this.connections.get(socket)!;
+    if (code === CUT_SHORT) connection.breakOff(MALFORMED_STATUS);
+    else connection.refuse(UNREADABLE_STATUS[code ?? ''] ?? MALFORMED_STATUS);
+  }
+
   private dispatch(message: IncomingMessage, response: ServerResponse): void {
-    const turn = this.connections.get(message.socket)!.take(response);
+    const turn = this.connections.get(message.socket)!.take(message, response);
     if (!turn) {
       // Read on, so that the caller's close is seen.
       message.resume();
--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -231,6 +231,55 @@
     assert.equal(pipeline.begun, ['/a']);
   }));
 
+const REFUSALS: Readonly<Record<string, { sent: string; answers: string[] }>> = {
+  'what is no request': {
+    sent: 'hello\r\n\r\n',
+    answers: ['200 OK: a', '400 Bad Request: , close'],
+  },
+  'headers that are too large': {
+    sent: get('/b', `X-Large: ${'a'.repeat(20_000)}\r\n`),
+    answers: ['200 OK: a', '431 Request Header Fields Too Large: , close'],
+  },
+  'a body that is malformed': {
+    sent: 'POST /b HTTP/1.1\r\nHost: mesh\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n',
+    answers: ['200 OK: a', '400 Bad Request: , close'],
+  },
+};
+
+for (const [name, { sent, answers }] of Object.entries(REFUSALS)) {
+  test(`${name} behind a request is refused after that is answered`, () =>
+    withPipeline(async (pipeline) => {
+      const caller = await pipeline.caller(get('/a') + sent);
+      await pipeline.running('/a');
+      const seen = answersOf(caller);
+      await until('it is refused', () => pipeline.refused.length > 0);
+      caller.write('more\r\n');
+      await until('more is refused', () => pipeline.refused.length > 1);
+      pipeline.answer('/a');
+      assert.equal(await seen, answers);
+      assert.equal(pipeline.cancelled, []);
+    }));
+}
+
+for (const [name, sent] of Object.entries({
+  head: 'GET /b HTTP/1.1\r\nHost: me',
+  body: 'POST /b HTTP/1.1\r\nHost: mesh\r\nContent-Length: 9\r\n\r\nabc',
+})) {
+  test(`a ${name} that does not come in time is refused after the request before is answered`, () =>
+    withPipeline(
+      async (pipeline) => {
+        const caller = await pipeline.caller(get('/a') + sent);
+        await pipeline.running('/a');
+        const seen = answersOf(caller);
+        await until('it is refused', () => pipeline.refused.length > 0);
+        pipeline.answer('/a');
+        assert.equal(await seen, ['200 OK: a', '408 Request Timeout: , close']);
+        assert.equal(pipeline.cancelled, []);
+      },
+      new Listener({ headersTimeout: 20, requestTimeout: 20, connectionsCheckingInterval: 10 }),
+    ));
+}
+
 const LARGE_BODY = 'a'.repeat(2 * MAX_BODY_BYTES);
 
 for (const [name, rest] of Object.entries({
@@ -270,4 +319,29 @@
     assert.equal(await seen, ['200 OK: a', '413 Payload Too Large: ', '200 OK: c, close']);
   }));
 
+test('a request behind one that asks for the close does not replace its answer', () =>
+  withPipeline(async (pipeline) => {
+    const caller = await pipeline.caller(get('/a', 'Connection: close\r\n') + get('/b'));
+    await pipeline.running('/a');
+    const seen = answersOf(caller);
+    pipeline.answer('/a');
+    assert.equal(await seen, ['200 OK: a, close']);
+    assert.equal(pipeline.begun, ['/a']);
+  }));
+
+for (const end of ['end', 'destroy'] as const) {
+  for (const rest of ['', 'POST /c HTTP/1.1\r\nHost: mesh\r\nContent-Length: 9\r\n\r\nabc']) {
+    test(`a caller's ${end} ${rest && 'in a request '}cancels all that is behind each other`, () =>
+      withPipeline(async (pipeline) => {
+        const caller = await pipeline.caller(get('/a') + get('/b') + rest);
+        await pipeline.running('/a', '/b');
+        pipeline.answer('/b');
+        caller[end]();
+        await until('the first is cancelled', () => pipeline.cancelled.includes('/a'));
+        await until('nothing is open', () => pipeline.calls.openCalls === 0);
+        await until('nothing is unsent', () => pipeline.calls.unsentAnswers === 0);
+      }));
+  }
+}
+
 test.run();
--- a/src/request/readRequest.ts
+++ b/src/request/readRequest.ts
@@ -27,12 +27,17 @@
   }
   const chunks: Buffer[] = [];
   let bytes = 0;
-  // Leaving the loop must not destroy the message: its connection, and answers before it, would end too.
-  for await (const chunk of message.iterator({ destroyOnReturn: false })) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > maxBytes) throw new RequestError(413, `a body of more than ${maxBytes} bytes`);
-    chunks.push(chunk as Buffer);
+  try {
+    // Leaving the loop must not destroy the message: its connection, and answers before it, would end too.
+    for await (const chunk of message.iterator({ destroyOnReturn: false })) {
+      bytes += (chunk as Buffer).length;
+      if (bytes > maxBytes) break;
+      chunks.push(chunk as Buffer);
+    }
+  } catch (error) {
+    throw new RequestError(400, `the body broke off: ${(error as Error).message}`);
   }
+  if (bytes > maxBytes) throw new RequestError(413, `a body of more than ${maxBytes} bytes`);
   return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 }
 
