Don't cut off the calls of a channel that is held up by lost packets

A channel on which nothing came for 1 s after a ping, while a probe on a new connection was answered, was closed. The other daemon takes that close for the caller's and cuts off what runs; here every call on the channel failed, which without budget is a 502 long before the deadline, for charges "the attempt is running" included. But a packet that is lost three times in a row is sent again only after 1.4 s: the connection may be held up, not silent for good.

Now the channel is left: new calls get another, its calls go on. Those that may run again are told and get second attempts as far as the budget allows; of those that may run once it is asked at once whether they came, so that one that never did is sent elsewhere as early as before.

A new table of PeerTransport shows what each kind of call does.

--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -251,7 +251,7 @@
         // The ping shows on the channel in use what the probe shows on a new connection.
         channels.ping(address);
         const result = await probeDaemon(address);
-        if (result === 'answers') channels.closeSilent(address);
+        if (result === 'answers') channels.leaveSilent(address);
         return result;
       },
       channels,
--- a/src/request/CallChannel.ts
+++ b/src/request/CallChannel.ts
@@ -57,6 +57,7 @@
   readonly resolve: (reply: ChannelReply) => void;
   readonly reject: (error: ExchangeError) => void;
   readonly settle: () => void;
+  readonly onSilent: (() => void) | undefined;
   sent: boolean;
   answer: StreamedAnswer | undefined;
   body: ChannelBody | undefined;
@@ -121,9 +122,11 @@
   /**
    * @param call - What to send.
    * @param signal - Cancels it.
+   * @param onSilent - Called, perhaps again, while nothing comes on this channel though the other
+   * daemon answers elsewhere. The call goes on and may still be answered.
    * @returns The call on this channel.
    */
-  public send(call: OutgoingCall, signal: CancelSignal): ChannelCall {
+  public send(call: OutgoingCall, signal: CancelSignal, onSilent?: () => void): ChannelCall {
     this.lastNumber += 1;
     const number = this.lastNumber as ChannelCallNumber;
     const abort = () => this.abort(number);
@@ -133,6 +136,7 @@
         resolve,
         reject,
         settle: () => signal.removeEventListener('abort', abort),
+        onSilent,
         sent: false,
         answer: undefined,
         body: undefined,
@@ -164,6 +168,13 @@
     if (this.calls.size === 0) this.dispose();
   }
 
+  /** Tells the calls that wait for an answer that nothing comes. */
+  public tellSilent(): void {
+    for (const { answer, onSilent } of [...this.calls.values()]) {
+      if (!answer) onSilent?.();
+    }
+  }
+
   public dispose(): void {
     this.socket.terminate();
     this.end('the channel was closed');
--- a/src/request/PeerTransport.test.ts
+++ b/src/request/PeerTransport.test.ts
@@ -225,4 +225,62 @@
   );
 });
 
+/** Sends a call whose channel is left as silent, twice, and notes what is done about it. */
+async function onSilentChannel(idempotent: boolean, fence: FenceReply): Promise<string> {
+  const events: string[] = [];
+  let tell: () => void = () => undefined;
+  let reject: (error: Error) => void = () => undefined;
+  const channels = {
+    get: () => ({
+      lastHeardAt: 0,
+      send: (_call: unknown, _signal: unknown, onSilent: () => void) => {
+        tell = onSilent;
+        const reply = new Promise((_resolve, fail) => {
+          reject = fail;
+        });
+        const abort = () => reject(new ExchangeError('aborted', true, true));
+        return { reply, isSent: () => true, abort };
+      },
+    }),
+    leave: () => undefined,
+  } as unknown as CallChannels;
+  const question = async () => {
+    events.push('asks');
+    return fence;
+  };
+  const liveness = {
+    isUnresponsive: () => false,
+    heard: () => undefined,
+    refused: () => undefined,
+    unconnected: () => undefined,
+    watch: () => ({ dispose: () => undefined }),
+  };
+  const transport = new PeerTransport(channels, question, liveness, 60_000, new ManualClock());
+  const context = { idempotent, deadline: 60_000 } as AttemptContext;
+  const cancel = new CancelSource();
+  const send = transport.send(UPSTREAM, REQUEST, context, cancel, () => events.push('second'));
+  const end = send.catch(({ name }: Error) => events.push(name));
+  tell();
+  tell();
+  for (let turn = 0; turn < 4; turn += 1) await new Promise(setImmediate);
+  events.push('then');
+  reject(new ExchangeError('the channel was closed', true));
+  await end;
+  return events.join(', ');
+}
+
+test('calls on a channel that is left as silent go on, unless it is proved that they never came', async () => {
+  const rows = [
+    `may run again: ${await onSilentChannel(true, 'running')}`,
+    `may run once, runs: ${await onSilentChannel(false, 'running')}`,
+    `may run once, never came: ${await onSilentChannel(false, 'forbidden')}`,
+  ];
+  assert.snapshot(
+    rows.join('\n'),
+    `may run again: second, second, then, UnknownOutcomeError
+may run once, runs: asks, then, asks, UnknownOutcomeError
+may run once, never came: asks, NotRunError, then`,
+  );
+});
+
 test.run();
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -61,6 +61,8 @@
   unreachable: boolean;
   /** Questions in a row that it didn't answer. */
   unanswered: number;
+  /** Asks ahead of time, until the first question. */
+  askEarly: (() => void) | undefined;
 }
 
 /** Sends attempts to the daemon beside the upstream. */
@@ -89,6 +91,7 @@
   ): Promise<Answer> {
     const channel = this.channels.get(upstream.address);
     const sentAt = this.clock.now();
+    let askEarly: () => void = () => undefined;
     const call = channel.send(
       {
         target: upstream.incarnation,
@@ -99,6 +102,8 @@
         body: request.body,
       },
       signal,
+      // What may run again is tried elsewhere sooner than its first attempt can be judged.
+      () => (context.idempotent ? onSilent?.() : askEarly()),
     );
     let verdict: Error | undefined;
     const giveUp = (error: Error) => {
@@ -107,6 +112,7 @@
       call.abort();
     };
     const watch = this.watch(upstream, context, giveUp);
+    askEarly = () => watch.askEarly?.();
     const giveUpUnsent = (reason: string) => giveUp(PeerTransport.lost(`never sent: ${reason}`));
     const life = this.liveness.watch(upstream.address, {
       onSilent: () => (call.isSent() ? onSilent?.() : giveUpUnsent('the daemon stopped answering')),
@@ -167,9 +173,12 @@
       stopped: false,
       unreachable: false,
       unanswered: 0,
+      askEarly: undefined,
     };
     let before: FenceReply | undefined;
     const ask = async () => {
+      clearTimeout(watch.timer);
+      watch.askEarly = undefined;
       const state = await this.fence(upstream, context, false);
       if (watch.stopped) return;
       watch.unanswered = state === 'unanswered' ? watch.unanswered + 1 : 0;
@@ -179,6 +188,7 @@
       else giveUp(PeerTransport.verdict(state, 'the connection fell silent'));
     };
     watch.timer = setTimeout(() => void ask(), this.silenceMs);
+    watch.askEarly = () => void ask();
     return watch;
   }
 
