Don't let an upstream's lease lapse while its news waits to be read

After a hold-up of the daemon that is longer than what is left of the lease (7 s, news each 1.5 s, so from 5.5 s on) the timer of the lease runs before the announcements are read that came in meanwhile: the upstream is retired, the calls that wait for its slots are refused and it is offered anew as a cold one.

Only time whose news was read counts now (`waitedMs`, which is 0 while turns are short and at most two turns under load, so that an upstream that is gone isn't offered for longer).

Evidence: "the lease of an upstream does not lapse while its news waits to be read" failed before with the retired upstream (`draining: true`) in place of the kept one. The tests of UpstreamRegistration (4) pass.

--- a/src/process/UpstreamRegistration.test.ts
+++ b/src/process/UpstreamRegistration.test.ts
@@ -52,7 +52,7 @@
 }
 
 /** A registration, and the member record that other daemons see after each step. */
-function registrationOf() {
+function registrationOf(waitedMs = () => 0) {
   const clock = new ManualClock();
   const timeOfDay = { ahead: EPOCH_MS };
   const own = {
@@ -82,7 +82,7 @@
     attempts: new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock),
     names: OWN_HEADER_NAMES,
     lagMs: () => 0,
-    waitedMs: () => 0,
+    waitedMs,
     leaseMs: LEASE_MS,
     clock,
     timeOfDay: () => timeOfDay.ahead + clock.now(),
@@ -196,4 +196,32 @@
   members.dispose();
 });
 
+test('the lease of an upstream does not lapse while its news waits to be read', () => {
+  let waitedMs = 0;
+  const { registration, members, clock, lines, step } = registrationOf(() => waitedMs);
+  const look = () => registration.expire();
+  step('first', () => registration.announce(says('i-1', 1)));
+  const before = registration.local;
+  clock.advance(1_000);
+  // This daemon stands still for longer than the lease; its timers run before it reads anything.
+  waitedMs = LEASE_MS + 1_000;
+  clock.advance(waitedMs);
+  step('after a hold-up', look);
+  waitedMs = 0;
+  registration.announce(says('i-1', 2));
+  step('its news was read', look);
+  assert.is(registration.local!.upstream, before!.upstream);
+  clock.advance(LEASE_MS + 1);
+  step('no news', look);
+  assert.snapshot(
+    lines.join('\n'),
+    `first: stock serving 9
+after a hold-up: stock serving 9
+its news was read: stock serving 9
+no news: null none null`,
+  );
+  registration.dispose();
+  members.dispose();
+});
+
 test.run();
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -153,6 +153,22 @@
     await this.registered?.upstream?.drain();
   }
 
+  /**
+   * Ends a lease that lapsed. Called by the timer, and by tests in its place. The timer runs before what
+   * came in during a hold-up of this daemon is read, so only time whose news was read counts.
+   */
+  public expire(): void {
+    const { registered } = this;
+    const { clock, leaseMs, logger, waitedMs } = this.services;
+    if (!registered || clock.now() - waitedMs() - registered.renewedAt <= leaseMs) return;
+    logger.log('The lease of the upstream lapsed.', {
+      service: registered.announcement.service,
+      instance: registered.announcement.instance,
+    });
+    this.retire();
+    this.publish();
+  }
+
   /** Takes no new work from now on; resolves once what runs has ended. */
   public async drain(): Promise<void> {
     this.stopping = true;
@@ -243,18 +259,6 @@
     this.publish();
   }
 
-  private expire(): void {
-    const { registered } = this;
-    const { clock, leaseMs, logger } = this.services;
-    if (!registered || clock.now() - registered.renewedAt <= leaseMs) return;
-    logger.log('The lease of the upstream lapsed.', {
-      service: registered.announcement.service,
-      instance: registered.announcement.instance,
-    });
-    this.retire();
-    this.publish();
-  }
-
   /** Lets an upstream finish what it runs. */
   private retire(): void {
     const upstream = this.registered?.upstream;
