Let a stop wait for answers that are being sent, and not cut them off

`openCalls` counts handlers. An answer whose handler had ended but whose bytes still waited for the caller to read, or behind another answer, didn't hold up the stop: `whenIdle` resolved, and the daemon ended. Sooner still, `stopAccepting` cut it: node's `closeIdleConnections`, which `close()` calls too, takes a connection for idle once `end()` was called on its answer, sent or not.

`whenIdle` now waits until every answer was handed to the network or its caller left; how long is bounded by the end of the stop as before. The listener chooses itself which connections are idle: those on which an answer has left, none is due and nothing came since. New connections without a request are left open as before; a head that has come in part only together with the request before it isn't seen, and counts as unread.

Tests: an answer of 33,554,432 bytes to a caller that doesn't read until the stop.

--- a/src/connection/CallerConnection.ts
+++ b/src/connection/CallerConnection.ts
@@ -17,6 +17,9 @@
   /** Requests whose answers haven't left, in order. */
   private readonly turns: CallerTurn[] = [];
 
+  /** Bytes that had come when the last answer left; `undefined` before any did. */
+  private settledBytes: number | undefined;
+
   /** Whether some answer announced the end of the connection, or a refusal will. */
   private closing = false;
 
@@ -78,6 +81,12 @@
     else this.refuse(status);
   }
 
+  /** Ends the connection if its requests are answered and nothing of another has come. */
+  public closeIfIdle(): void {
+    const isIdle = this.turns.length === 0 && this.settledBytes === this.socket.bytesRead;
+    if (isIdle && !this.closing) this.socket.destroySoon();
+  }
+
   private endWith(status: number): void {
     // Node ends the connection of a caller that asked for it.
     if (!this.socket.writable) return;
@@ -91,6 +100,7 @@
   private finish(turn: CallerTurn): void {
     const index = this.turns.indexOf(turn);
     if (index >= 0) this.turns.splice(index, 1);
+    this.settledBytes = this.socket.bytesRead;
     turn.end(true);
     this.turns[0]?.begin();
   }
--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -26,7 +26,7 @@
 
   private handler: RequestListener | undefined;
 
-  private readonly connections = new WeakMap<Socket, CallerConnection>();
+  private readonly connections = new Map<Socket, CallerConnection>();
 
   private readonly turns = new WeakMap<ServerResponse, Turn>();
 
@@ -38,6 +38,8 @@
       { noDelay: true, requireHostHeader: false, ...options },
       (message, response) => this.dispatch(message, response),
     );
+    // Node's own counts a connection as idle whose answer is still being sent, and close() calls it.
+    this.server.closeIdleConnections = () => this.closeIdle();
     this.server.on('connection', (socket) => this.accept(socket));
     this.server.on('clientError', (error, socket) => this.refuse(error, socket as Socket));
   }
@@ -79,10 +81,10 @@
     return `${address.slice(0, separator)}:${port}` as Address;
   }
 
-  /** Takes no new connection, and closes those on which nothing is under way. */
+  /** Takes no new connection, and closes those whose answers have left and on which nothing came since. */
   public stopAccepting(): void {
     if (this.server.listening) this.server.close();
-    this.server.closeIdleConnections();
+    this.closeIdle();
   }
 
   public dispose(): void {
@@ -93,6 +95,11 @@
   private accept(socket: Socket): void {
     this.accepted += 1;
     this.connections.set(socket, new CallerConnection(this.accepted, socket));
+    socket.once('close', () => this.connections.delete(socket));
+  }
+
+  private closeIdle(): void {
+    for (const connection of this.connections.values()) connection.closeIfIdle();
   }
 
   private refuse({ code }: NodeJS.ErrnoException, socket: Socket): void {
--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -15,6 +15,10 @@
 const LONG_AFTER = Number.MAX_SAFE_INTEGER;
 const MAX_BODY_BYTES = 1_000;
 
+/** More than the network takes while the caller doesn't read. */
+const LARGE_BYTES = 32 * 1024 * 1024;
+const LATE = 'the answer came too late for the test';
+
 function get(path: string, headers = ''): string {
   return `GET ${path} HTTP/1.1\r\nHost: mesh\r\n${headers}\r\n`;
 }
@@ -344,4 +348,90 @@
   }
 }
 
+test('an answer that breaks off behind a request leaves that its answer, then the connection ends', () =>
+  withPipeline(async (pipeline) => {
+    const caller = await pipeline.caller(get('/a') + get('/b'));
+    await pipeline.running('/a', '/b');
+    const seen = answersOf(caller);
+    const broken = pipeline.head('/b', 9);
+    broken.push(Buffer.from('b'));
+    await new Promise(setImmediate);
+    broken.fail('the upstream broke off');
+    await new Promise(setImmediate);
+    pipeline.answer('/a');
+    const late = new Promise((resolve) => {
+      setTimeout(resolve, 10_000, [LATE]).unref();
+    });
+    const [first] = (await Promise.race([seen, late])) as string[];
+    assert.is(first, '200 OK: a');
+  }));
+
+/** @returns A caller that doesn't read its answer, which is being sent. */
+async function slowCaller(pipeline: Pipeline): Promise<Socket> {
+  const caller = await pipeline.caller(get('/a'));
+  await pipeline.running('/a');
+  caller.pause();
+  const answer = pipeline.head('/a', LARGE_BYTES);
+  answer.push(Buffer.alloc(LARGE_BYTES));
+  answer.complete();
+  await until('it is being sent', () => pipeline.calls.unsentAnswers > 0);
+  return caller;
+}
+
+/** @returns How many bytes come up to the connection's end. */
+async function bytesTo(caller: Socket): Promise<number> {
+  let bytes = 0;
+  caller.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+  });
+  caller.resume();
+  await Promise.race([once(caller, 'end'), once(caller, 'close')]);
+  return bytes;
+}
+
+test('a stop waits for an answer that its caller is still reading', () =>
+  withPipeline(async (pipeline) => {
+    pipeline.calls.closeConnections();
+    const caller = await slowCaller(pipeline);
+    let idle = false;
+    const whenIdle = pipeline.calls.whenIdle().then(() => {
+      idle = true;
+    });
+    await new Promise(setImmediate);
+    assert.not(idle);
+    assert.ok((await bytesTo(caller)) > LARGE_BYTES);
+    await whenIdle;
+  }));
+
+test('a stop does not cut off an answer that its caller is still reading', () =>
+  withPipeline(async (pipeline) => {
+    pipeline.calls.closeConnections();
+    const caller = await slowCaller(pipeline);
+    pipeline.listener.stopAccepting();
+    const bytes = await bytesTo(caller);
+    assert.ok(bytes > LARGE_BYTES, `${bytes} bytes came`);
+  }));
+
+test('a stop ends connections whose answers have left, and no others', () =>
+  withPipeline(async (pipeline) => {
+    const idle = await pipeline.caller(get('/a'));
+    await pipeline.running('/a');
+    pipeline.answer('/a');
+    await once(idle, 'data');
+    const busy = await pipeline.caller(get('/b') + get('/c'));
+    await pipeline.running('/b', '/c');
+    pipeline.answer('/c');
+    const begun = await pipeline.caller('GET /d HTTP/1.1\r\n');
+    await until('its head began', () => (pipeline.accepted[2]?.bytesRead ?? 0) > 0);
+    pipeline.calls.closeConnections();
+    pipeline.listener.stopAccepting();
+    await once(idle, 'close');
+    begun.write('Host: mesh\r\n\r\n');
+    await pipeline.running('/d');
+    pipeline.answer('/d');
+    assert.equal(await answersOf(begun), ['200 OK: d, close']);
+    pipeline.answer('/b');
+    assert.equal(await answersOf(busy), ['200 OK: b', '200 OK: c, close']);
+  }));
+
 test.run();
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -132,9 +132,9 @@
     }
   }
 
-  /** Resolves once no call is open. */
+  /** Resolves once no call is open and every answer was handed to the network, or its caller left. */
   public async whenIdle(): Promise<void> {
-    if (this.open === 0) return;
+    if (this.isIdle) return;
     await new Promise<void>((resolve) => {
       this.idle = resolve;
     });
@@ -182,12 +182,12 @@
       await this.refuse(this.refusalOf(error as Error), message, response, record);
     } finally {
       this.open -= 1;
-      if (this.open === 0) this.idle?.();
       const durationMs = this.services.clock.now() - began - (record.heldMs ?? 0);
       this.services.report({ outcome: record.outcome, status: response.statusCode, durationMs });
       this.log(record, response.statusCode, durationMs);
       void turn.left().then(() => {
         this.unsent -= 1;
+        if (this.isIdle) this.idle?.();
       });
     }
   }
@@ -205,6 +205,10 @@
     return budget;
   }
 
+  private get isIdle(): boolean {
+    return this.open === 0 && this.unsent === 0;
+  }
+
   private async answer(
     message: IncomingMessage,
     response: ServerResponse,
