--- a/src/request/CallChannel.test.ts
+++ b/src/request/CallChannel.test.ts
@@ -340,4 +340,33 @@
   assert.equal(cancelled, []);
 });
 
+test('a call whose connection is not opened in time was never sent, also if it opens later', async () => {
+  const server = createServer();
+  const upgrades = new WebSocketServer({ noServer: true });
+  const received: string[] = [];
+  upgrades.on('connection', (socket) => socket.on('message', () => received.push('a frame')));
+  let open: () => void = () => undefined;
+  server.on('upgrade', (request, socket, head) => {
+    open = () =>
+      upgrades.handleUpgrade(request, socket, head, (opened) =>
+        upgrades.emit('connection', opened),
+      );
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}` as Address;
+  const channels = new CallChannels(OWN, 50, new SystemClock(), { log: () => undefined });
+  const { reply, isSent } = channels.get(address).send(call('/x'), new CancelSource());
+  const error = await reply.catch((failure: unknown) => failure);
+  assert.ok(error instanceof ExchangeError && !error.sent && !error.aborted);
+  open();
+  for (let turn = 0; turn < 20; turn += 1) await new Promise(setImmediate);
+  assert.equal(received, []);
+  assert.not.ok(isSent());
+  channels.dispose();
+  server.closeAllConnections();
+  server.close();
+});
+
 test.run();
