Don't begin a call whose caller is known to have left

Cause: the close is seen in time. A late call waits four turns of the event loop for it, and withDeadline then aborts the call's signal before it runs the call. But nobody looked: Call.run made its first attempt without asking the signal, and hedgedAttempt, through which every call goes that may run twice, followed its signal only by an event, which a signal that is aborted already never sends. So the attempt ran under a signal of its own that nothing would ever abort.

Of the 681 attempts that went to an upstream after the close was seen only 4 were of calls begun before it, at most 18 ms late: closes that crossed the call.

Ruled out by a probe on real sockets, 12 callers that left before they were accepted, 20 ms of work a turn: FIN shows as `end` one turn after the request and as `close` of socket and request two turns after it, RST as `close` after one. So neither the order of read events nor half-open connections hide it, and four turns are enough. Cancel frames behind their call were not it: none was sent, the attempt's own signal was never aborted.

hedgedAttempt now hands an abort on that came before it, and Call.run begins nothing for a caller who left; the outcome is "not run", which is true.

Tests, each red on the sources before: two without sockets ('full' was sent; the attempt's signal was 'not cancelled'), and one with daemons as processes: of 20 callers that leave a frozen daemon, the calls of all 20 were run by an upstream (counted in one run), now none (15 runs of 15; red in 3 of 3 before).

--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -131,6 +131,7 @@
    * @throws UnknownOutcomeError - Some attempt may have run.
    */
   public async run(signal: CancelSignal): Promise<Answer> {
+    if (signal.aborted) throw new NotRunError('the call was given up before it was begun');
     this.budget.deposit(this.terms.retryBudget);
     for (let offers = 1; ; offers += 1) {
       const upstream = this.choose();
--- a/src/request/hedgedAttempt.test.ts
+++ b/src/request/hedgedAttempt.test.ts
@@ -55,6 +55,19 @@
   assert.equal(cancelled, [true, false]);
 });
 
+test('an attempt under a signal that was aborted before is cancelled too', async () => {
+  const cancel = new CancelSource();
+  cancel.abort('the caller left');
+  let reason: unknown = 'not cancelled';
+  const attempt: Attempt = (signal) => {
+    reason = signal.aborted ? signal.reason : reason;
+    return Promise.reject(new Error('cancelled'));
+  };
+  const error = await hedgedAttempt(attempt, () => attempt, 0, cancel).catch((thrown) => thrown);
+  assert.is((error as Error).message, 'cancelled');
+  assert.is(reason, 'the caller left');
+});
+
 test('an answer that comes together with the winner is given up', async () => {
   const { attempt, ends } = pair();
   const answer = hedgedAttempt(attempt, () => attempt, 0, NEVER);
--- a/src/request/hedgedAttempt.ts
+++ b/src/request/hedgedAttempt.ts
@@ -46,7 +46,8 @@
     const start = async (attempt: Attempt): Promise<void> => {
       const cancel = new CancelSource();
       const leave = () => cancel.abort(signal.reason);
-      signal.addEventListener('abort', leave, { once: true });
+      if (signal.aborted) leave();
+      else signal.addEventListener('abort', leave, { once: true });
       const noteSilent = () => {
         silent.add(cancel);
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- both call each other
--- a/src/request/lateCloses.test.ts
+++ b/src/request/lateCloses.test.ts
@@ -16,9 +16,15 @@
   retryBudget: 1,
 } as unknown as CallTerms;
 
-test('a call whose caller left in a long turn is not sent again after a refusal read in it', async () => {
+/**
+ * Runs a call whose caller leaves.
+ *
+ * @param cancel - Aborted when the caller leaves.
+ * @param onSend - Called with each attempt, which is refused.
+ * @returns Where it was sent, and what it came to.
+ */
+async function outcome(cancel: CancelSource, onSend: () => void) {
   const sent: string[] = [];
-  const cancel = new CancelSource();
   const services = {
     balancer: {
       choose: ({ exclude }: { exclude: ReadonlySet<string> }) =>
@@ -33,8 +39,7 @@
     transport: {
       send: ({ daemon }: Upstream) => {
         sent.push(daemon);
-        // The refusal is read ahead of the close of the caller's connection.
-        setImmediate(() => cancel.abort(CALLER_LEFT));
+        onSend();
         return Promise.reject(new NotRunError('the queue is full'));
       },
     },
@@ -49,8 +54,25 @@
   const times = { deadline: 60_000, objective: 60_000 };
   const call = new Call(REQUEST, TERMS, services, budget, times, 0);
   const error = await call.run(cancel).catch((thrown: Error) => thrown);
+  return { sent, error };
+}
+
+test('a call whose caller left in a long turn is not sent again after a refusal read in it', async () => {
+  const cancel = new CancelSource();
+  const { sent, error } = await outcome(cancel, () => {
+    // The refusal is read ahead of the close of the caller's connection.
+    setImmediate(() => cancel.abort(CALLER_LEFT));
+  });
   assert.equal(sent, ['full']);
   assert.instance(error, NotRunError);
 });
 
+test('a call whose caller is known to have left before it is begun is not sent', async () => {
+  const cancel = new CancelSource();
+  cancel.abort(CALLER_LEFT);
+  const { sent, error } = await outcome(cancel, () => undefined);
+  assert.equal(sent, []);
+  assert.instance(error, NotRunError);
+});
+
 test.run();
--- a/test/callFaults.test.ts
+++ b/test/callFaults.test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -20,6 +22,8 @@
 
 const ZONES = ['coq', 'coq', 'rogers', 'rogers'];
 const WORK_MS = 3;
+const LEAVERS = 20;
+const FROZEN_MS = 300;
 
 type UpstreamProcess = FleetProcess<{ port: number }>;
 
@@ -258,6 +262,40 @@
   }),
 );
 
+/** Calls that a daemon has answered or refused. */
+async function callsEnded({ ready }: DaemonProcess): Promise<number> {
+  const answer = await fetch(`http://${ready.listening.control}/metrics`);
+  const counts = (await answer.text()).matchAll(/^azurestream_calls_total\{.*\} (\d+)$/gm);
+  return [...counts].reduce((sum, [, count]) => sum + Number(count), 0);
+}
+
+/** Sends a lookup on a connection of its own and leaves before anything can come back. */
+async function leaveAtOnce(daemon: DaemonProcess, id: string): Promise<void> {
+  const { hostname, port } = new URL(`http://${daemon.ready.listening.calls}`);
+  const caller = connect(Number(port), hostname);
+  await once(caller, 'connect');
+  caller.end(`GET /rentals HTTP/1.1\r\nHost: mesh\r\nx-call-id: ${id}\r\n\r\n`);
+  await once(caller, 'finish');
+  caller.destroy();
+  await once(caller, 'close');
+}
+
+scenario('calls whose callers left while their daemon was frozen reach no upstream', () =>
+  withMesh(async ({ entry, upstreams }) => {
+    const endedBefore = await callsEnded(entry);
+    entry.child.kill('SIGSTOP');
+    for (let number = 0; number < LEAVERS; number += 1) await leaveAtOnce(entry, `left-${number}`);
+    // By then the daemon counts as late.
+    await delay(FROZEN_MS);
+    entry.child.kill('SIGCONT');
+    await eventually(
+      'the calls have ended',
+      async () => (await callsEnded(entry)) - endedBefore === LEAVERS,
+    );
+    assert.equal(await ledgers(upstreams), []);
+  }),
+);
+
 scenario(
   'a swap while an upstream leaves: routes follow services, calls are answered or not run',
   () =>
