--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -391,7 +391,7 @@
 
 test('a stop waits for an answer that its caller is still reading', () =>
   withPipeline(async (pipeline) => {
-    pipeline.calls.closeConnections();
+    pipeline.calls.stop(LONG_AFTER);
     const caller = await slowCaller(pipeline);
     let idle = false;
     const whenIdle = pipeline.calls.whenIdle().then(() => {
@@ -405,7 +405,7 @@
 
 test('a stop does not cut off an answer that its caller is still reading', () =>
   withPipeline(async (pipeline) => {
-    pipeline.calls.closeConnections();
+    pipeline.calls.stop(LONG_AFTER);
     const caller = await slowCaller(pipeline);
     pipeline.listener.stopAccepting();
     const bytes = await bytesTo(caller);
@@ -423,7 +423,7 @@
     pipeline.answer('/c');
     const begun = await pipeline.caller('GET /d HTTP/1.1\r\n');
     await until('its head began', () => (pipeline.accepted[2]?.bytesRead ?? 0) > 0);
-    pipeline.calls.closeConnections();
+    pipeline.calls.stop(LONG_AFTER);
     pipeline.listener.stopAccepting();
     await once(idle, 'close');
     begun.write('Host: mesh\r\n\r\n');
