Read on for a while behind an answer that closes its connection

Behind such an answer node ends and closes the connection at once. A request that the caller had just sent then meets a closed connection, which is reset, and what of the answer was still in the daemon's network buffers is lost: an answer that ran and was written counts as cut. On links with small windows, and with callers that send behind each other, that is no rare crossing.

Each end of a caller's connection now goes one way (CallerConnection.end): the daemon closes its side once all is sent, reads and drops what comes, begins nothing, and closes when the caller does or 1 s later (RFC 9112, 9.6). The rest of a refused body is dropped likewise. node's `destroySoon`, by which its server ends connections, is replaced on the socket for that; there is no option for it.

Test: an answer of 1,048,576 bytes with the close to a caller that reads late and sends another request meanwhile.

--- a/src/connection/CallerConnection.ts
+++ b/src/connection/CallerConnection.ts
@@ -3,7 +3,10 @@
 import { OUTCOME_HEADER } from '../request/callHeaders';
 import CallerTurn from './CallerTurn';
 
-/** How long a refused caller may take to close its side, in ms; bytes that are unread at the end reset it. */
+/**
+ * How long a caller may take to close its side, in milliseconds. What it sends meanwhile is dropped: bytes
+ * that come to a closed connection, or are unread as it closes, reset it, and what is on its way is lost.
+ */
 const LINGER_MS = 1_000;
 
 const REFUSAL_HEADERS = {
@@ -32,6 +35,8 @@
     private readonly socket: Socket,
   ) {
     socket.once('close', () => this.close());
+    // Node ends a connection by this behind an answer that announces it.
+    this.socket.destroySoon = () => this.end();
   }
 
   /**
@@ -91,7 +96,15 @@
     // Node ends the connection of a caller that asked for it.
     if (!this.socket.writable) return;
     const headers = Object.entries(REFUSAL_HEADERS).map(([name, value]) => `${name}: ${value}\r\n`);
-    this.socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${headers.join('')}\r\n`);
+    this.socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${headers.join('')}\r\n`);
+    this.end();
+  }
+
+  /** Ends this side once all is sent, and the other when the caller does so or took too long. */
+  private end(): void {
+    if (!this.socket.writable) return;
+    this.closing = true;
+    this.socket.end();
     const timer = setTimeout(() => this.socket.destroy(), LINGER_MS).unref();
     this.socket.once('close', () => clearTimeout(timer));
   }
@@ -101,6 +114,7 @@
     const index = this.turns.indexOf(turn);
     if (index >= 0) this.turns.splice(index, 1);
     this.settledBytes = this.socket.bytesRead;
+    turn.dropRest();
     turn.end(true);
     this.turns[0]?.begin();
   }
--- a/src/connection/CallerTurn.ts
+++ b/src/connection/CallerTurn.ts
@@ -57,6 +57,11 @@
     return true;
   }
 
+  /** Lets the connection be read behind a request that was answered before it came whole. */
+  public dropRest(): void {
+    if (!this.isWhole) this.message.resume();
+  }
+
   /** The answers before it have left. */
   public begin(): void {
     this.came.settle(true);
--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -18,6 +18,8 @@
 /** More than the network takes while the caller doesn't read. */
 const LARGE_BYTES = 32 * 1024 * 1024;
 const LATE = 'the answer came too late for the test';
+/** More than callers' buffers take, and less than with the daemon's. */
+const BUFFERED_BYTES = 1024 * 1024;
 
 function get(path: string, headers = ''): string {
   return `GET ${path} HTTP/1.1\r\nHost: mesh\r\n${headers}\r\n`;
@@ -412,6 +414,37 @@
     assert.ok(bytes > LARGE_BYTES, `${bytes} bytes came`);
   }));
 
+test('a request that crosses the close of an answer does not cut that off', () =>
+  withPipeline(async (pipeline) => {
+    pipeline.calls.closeConnections();
+    const caller = await pipeline.caller(get('/a'));
+    await pipeline.running('/a');
+    caller.pause();
+    const answer = pipeline.head('/a', BUFFERED_BYTES);
+    answer.push(Buffer.alloc(BUFFERED_BYTES));
+    answer.complete();
+    await pipeline.calls.whenIdle();
+    caller.write(get('/b'));
+    const sent = get('/a').length + get('/b').length;
+    await until(
+      'it is there',
+      () => pipeline.accepted[0]!.bytesRead === sent || pipeline.accepted[0]!.destroyed,
+    );
+    const bytes = await bytesTo(caller);
+    assert.ok(bytes > BUFFERED_BYTES, `${bytes} bytes came`);
+    assert.equal(pipeline.begun, ['/a']);
+  }));
+
+test('a large body that goes on coming does not cut off its refusal', () =>
+  withPipeline(async (pipeline) => {
+    const caller = await pipeline.caller(
+      `POST /b HTTP/1.1\r\nHost: mesh\r\nContent-Length: ${LARGE_BYTES}\r\n\r\n`,
+    );
+    const seen = answersOf(caller);
+    caller.write(Buffer.alloc(BUFFERED_BYTES));
+    assert.equal(await seen, ['413 Payload Too Large: , close']);
+  }));
+
 test('a stop ends connections whose answers have left, and no others', () =>
   withPipeline(async (pipeline) => {
     const idle = await pipeline.caller(get('/a'));
