Replay the loss of a VM with more calls under way than the budget covers

20 lookups and 3 charges wait at a VM that loses power, the budget allows 6 second attempts: 6 are answered elsewhere at the first finding, a new call is placed elsewhere, 14 are answered 502 only once the VM counts as gone (12 probes), and the charges go on.

--- /dev/null
+++ b/src/request/powerLoss.test.ts
@@ -0,0 +1,128 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { setTimeout as delay } from 'node:timers/promises';
+import ManualClock from '../../stand-in/ManualClock';
+import SystemClock from '../common/SystemClock';
+import type { Address } from '../common/Types';
+import Call, { type CallServices, type CallTerms } from './Call';
+import type CallChannels from './CallChannels';
+import CancelSource from './CancelSource';
+import ExchangeError from './ExchangeError';
+import PeerLiveness from './PeerLiveness';
+import PeerTransport from './PeerTransport';
+import type RetryBudget from './RetryBudget';
+import StreamedAnswer from './StreamedAnswer';
+import type { Balancer, CallRequest, ProbeResult, Upstream } from './Types';
+
+const DARK = 'dark' as Address;
+const LOOKUPS = 20;
+const CHARGES = 3;
+const BUDGET = 6;
+const TERMS = {
+  route: { name: 'r', retries: 1, objectiveMs: 60_000, timeoutMs: 60_000 },
+  service: { name: 's', slots: 1 },
+  retryBudget: 0,
+} as unknown as CallTerms;
+const TIMES = { deadline: 60_000, objective: 60_000 };
+const SOURCE = { paused: false, pause: () => {}, resume: () => {}, abort: () => {} };
+
+function answered(): StreamedAnswer {
+  const answer = new StreamedAnswer(200, {}, SOURCE);
+  answer.complete();
+  return answer;
+}
+
+/** Daemons of which one loses power while calls are under way there; the others answer at once. */
+function mesh(probe: () => Promise<ProbeResult>) {
+  const clock = new ManualClock();
+  const channels = {
+    get: (address: Address) => ({
+      lastHeardAt: 0,
+      send: (_call: unknown, signal: CancelSource) => {
+        let fail: (error: Error) => void = () => undefined;
+        const reply = new Promise((resolve, reject) => {
+          fail = reject;
+          if (address !== DARK) resolve(answered());
+        });
+        const abort = () => fail(new ExchangeError('aborted', true, true));
+        signal.addEventListener('abort', abort);
+        return { reply, isSent: () => true, abort };
+      },
+    }),
+    leave: () => undefined,
+  } as unknown as CallChannels;
+  const liveness = new PeerLiveness(
+    probe,
+    { ping: () => undefined, lastHeardAt: () => undefined },
+    { silenceMs: 20, returnProbeMs: 1 },
+    new SystemClock(),
+    { log: () => undefined },
+  );
+  const upstreams = [DARK, 'bright' as Address].map(
+    (address) => ({ daemon: address, address, incarnation: 1 }) as unknown as Upstream,
+  );
+  const balancer = {
+    choose: ({ exclude }: { exclude: ReadonlySet<string> }) =>
+      upstreams.find(
+        ({ daemon, address }) => !exclude.has(daemon) && !liveness.isUnresponsive(address),
+      ),
+    begin: () => undefined,
+    end: () => undefined,
+    latencyMs: () => undefined,
+    known: () => undefined,
+  } as unknown as Balancer;
+  const services = {
+    balancer,
+    transport: new PeerTransport(channels, async () => 'unanswered', liveness, 60_000, clock),
+    clock,
+    lagMs: () => 0,
+    waitedMs: () => 0,
+    incarnation: () => 1,
+    nextAttempt: () => 1,
+    onAttempt: () => undefined,
+  } as unknown as CallServices;
+  let spent = 0;
+  const withdraw = () => {
+    spent += 1;
+    return spent <= BUDGET;
+  };
+  const budget = { deposit: () => undefined, withdraw } as unknown as RetryBudget;
+  const ends: string[] = [];
+  const cancel = new CancelSource();
+  const call = (method: string) => {
+    const request = { method, path: '/', headers: [], body: null } as unknown as CallRequest;
+    void new Call(request, TERMS, services, budget, TIMES, 0).run(cancel).then(
+      ({ status }) => ends.push(`${method} ${status}`),
+      ({ message }: Error) => ends.push(`${method}: ${message}`),
+    );
+  };
+  return { call, ends, liveness, cancel };
+}
+
+test('calls at a VM that loses power are not answered 502 before it counts as gone', async () => {
+  let probes = 0;
+  let atFirst: string[] = [];
+  const { call, ends, liveness, cancel } = mesh(async () => {
+    probes += 1;
+    await delay(1);
+    if (probes === 10) atFirst = [...ends];
+    return 'unconnected';
+  });
+  for (let number = 0; number < LOOKUPS; number += 1) call('GET');
+  for (let number = 0; number < CHARGES; number += 1) call('POST');
+  while (!liveness.isUnresponsive(DARK)) await delay(1);
+  call('POST');
+  while (ends.length < LOOKUPS + 1) await delay(1);
+  const atEnd = [...ends];
+  liveness.heard(DARK);
+  liveness.dispose();
+  cancel.abort('the test ends');
+  const served = [...Array<string>(BUDGET).fill('GET 200'), 'POST 200'];
+  const reason = 'the daemon is unreachable: no connection to it came about for 12 probes';
+  const lost = Array<string>(LOOKUPS - BUDGET).fill(`GET: ${reason} (attempts: dark)`);
+  assert.equal(atFirst.sort(), served);
+  assert.equal(atEnd.sort(), [...served, ...lost].sort());
+  assert.ok(probes >= 12);
+});
+
+test.run();
