Give no place in the queue to an attempt that was given up before it came

Callers: an attempt whose cancel is read ahead of its turn (PeerCallHandler lets late closes be seen first) still took a place in the queue of a full upstream until a slot came free, and let others be refused or wait longer for a place that nobody used.

Admission follows the signal by its event only, and a signal that is aborted already sends none.

Evidence: the test, red before ("1 waiting, expected 0"; the attempt hadn't ended either). The other places that follow a signal (CallChannel, exchange, withLinkedSignal, PeerLink) look at its state first; read, not tested anew.

Tests of Admission, its overload, LocalUpstream, Call and hedgedAttempt pass, lint and types too.

--- a/src/request/Admission.ts
+++ b/src/request/Admission.ts
@@ -165,6 +165,7 @@
    * @throws NotRunError - The queue is full, the wait would be too long, or the caller left.
    */
   public acquire(request: AdmissionRequest, signal: CancelSignal): Promise<Release> {
+    if (signal.aborted) return Promise.reject(this.notRun('the caller left before it came'));
     if (this.hasFreeSlot) return Promise.resolve(this.take(request));
     const durationMs = this.expectedMs(request);
     const refusal = this.refusal(request, durationMs);
--- a/src/request/LocalUpstream.test.ts
+++ b/src/request/LocalUpstream.test.ts
@@ -129,4 +129,19 @@
   server.close();
 });
 
+test('an attempt that was given up before it came takes no place in the queue', async () => {
+  const { upstream, sent } = upstreamWith(() => 0);
+  void upstream.run(requestFor('/first'), contextOf(1), new CancelSource());
+  while (sent.length === 0) await new Promise(setImmediate);
+  const cancel = new CancelSource();
+  cancel.abort(CALLER_LEFT);
+  let error: Error | undefined;
+  upstream.run(requestFor('/second'), contextOf(2), cancel).catch((thrown: Error) => {
+    error = thrown;
+  });
+  for (let turn = 0; turn < 10; turn += 1) await new Promise(setImmediate);
+  assert.is(upstream.counts.waiting, 0);
+  assert.is(error?.name, 'NotRunError');
+});
+
 test.run();
