Count what gossip costs, log why links end, and let manyPeers start a fleet at once

What was missing to read a start of many daemons: links opened, replaced and lost, comparisons of member tables, messages, records sent, received and new. They are in the dump; a link that is ended for another successor has a line, and "Lost a peer." says how long the link lasted and what it was doing. No logic changes.

manyPeers.ts: a fifth argument starts that many daemons at once (the first three before them, as only then there are seeds), 0 seconds ends it after the announcements, and the sums of the counters are printed after the start and after the announcements. A run that fails reports its phases too.

Hypotheses before any change of logic: 1. each second heartbeat while news is under way finds the digests differing, and compares whole tables again; 2. links are opened and given up again as rings fill, each with a new connection and a comparison; 3. a link that this daemon itself gave up wakes all others to a heartbeat; 4. 20 ms of coalescing are too short: one message a record; 5. this daemon's own hold-ups run out the time of its peers' answers, which are blamed: links lost, members suspected, more links, more load.

--- a/bench/manyPeers.ts
+++ b/bench/manyPeers.ts
@@ -2,7 +2,8 @@
  * Processor time of a fleet in which each daemon is a process with an upstream beside it and talks
  * to all others: at the start, idle, under calls spread over all upstreams, under changes of the
  * configuration and of members.
- * Usage: `manyPeers.ts [DAEMONS] [CALLS_PER_SECOND] [SECONDS] [PROFILE_FOLDER]`. With a folder, four
+ * Usage: `manyPeers.ts [DAEMONS] [CALLS_PER_SECOND] [SECONDS] [PROFILE_FOLDER] [STARTED_AT_ONCE]`.
+ * With 0 seconds it ends after the announcements. With a folder, four
  * daemons write a profile to it, and `phases.json` tells when each phase was (monotonic microseconds).
  *
  * @packageDocumentation
@@ -11,6 +12,7 @@
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 import { Agent, request } from 'undici';
+import type { Dump } from '../src/process/Types';
 import Fleet, { eventually, type DaemonReady, type FleetProcess } from '../stand-in/Fleet';
 import UpstreamServer from '../stand-in/UpstreamServer';
 
@@ -18,6 +20,7 @@
 const RATE = Number(process.argv[3] ?? 300);
 const SECONDS = Number(process.argv[4] ?? 10);
 const PROFILES = process.argv[5];
+const STARTED_AT_ONCE = Number(process.argv[6] ?? 8);
 const PROFILED = 4;
 const ZONES = ['coq', 'rogers', 'kootenay', 'pine'];
 /** Services by turns, so that the third has nearly half of the upstreams. */
@@ -25,7 +28,6 @@
 const PATHS = ['/stock/x', '/reservations/x', '/records/x', '/stock/x'];
 /** Longer than `calls.quiet`, so that daemons which await answers are silent meanwhile. */
 const WORK_MS = 700;
-const STARTED_AT_ONCE = 8;
 const SEEDS = 3;
 const CHANGES = 8;
 const FLIPS = 8;
@@ -74,8 +76,11 @@
 
   public async startAll(): Promise<void> {
     const seeds: string[] = [];
-    for (let first = 0; first < SIZE; first += STARTED_AT_ONCE) {
-      const batch = Array.from({ length: Math.min(STARTED_AT_ONCE, SIZE - first) }, (_, index) =>
+    while (this.daemons.length < SIZE) {
+      const first = this.daemons.length;
+      // Only those that come after the first few have seeds.
+      const wanted = seeds.length === 0 ? SEEDS : STARTED_AT_ONCE;
+      const batch = Array.from({ length: Math.min(wanted, SIZE - first) }, (_, index) =>
         this.fleet.startDaemon({
           name: `d${first + index}`,
           zone: ZONES[(first + index) % ZONES.length]!,
@@ -120,6 +125,18 @@
     });
   }
 
+  /** What all daemons exchanged with each other since their start, and what they logged. */
+  public async gossip(): Promise<Record<string, number>> {
+    const sums: Record<string, number> = {};
+    for (const { ready } of this.daemons) {
+      const { body } = await request(`http://${ready.listening.control}/dump`);
+      const { gossip, controlBytes } = (await body.json()) as Dump;
+      const counts = { ...gossip, kilobytesSent: controlBytes.sent / 1_000 };
+      for (const [name, count] of Object.entries(counts)) sums[name] = (sums[name] ?? 0) + count;
+    }
+    return sums;
+  }
+
   /** Open loop: a call each period to the next daemon, whatever became of those before. */
   public async call(seconds: number): Promise<void> {
     const open = new Set<Promise<void>>();
@@ -153,6 +170,22 @@
   }
 }
 
+function report(bench: Bench): void {
+  console.table(
+    bench.phases.map(({ name, fromUs, untilUs, cpuMs: ms }) => ({
+      phase: name,
+      seconds: Number(((untilUs - fromUs) / 1e6).toFixed(1)),
+      cpuMs: ms,
+      perDaemonAndSecondMs: Number((ms / SIZE / ((untilUs - fromUs) / 1e6)).toFixed(2)),
+    })),
+  );
+  process.stdout.write(`answers ${JSON.stringify([...bench.statuses])}\n`);
+  const result = { daemons: SIZE, rate: RATE, phases: bench.phases };
+  mkdirSync('bench/results', { recursive: true });
+  writeFileSync(`bench/results/manyPeers-${SIZE}.json`, `${JSON.stringify(result, null, 1)}\n`);
+  if (PROFILES) writeFileSync(join(PROFILES, 'phases.json'), JSON.stringify(bench.phases));
+}
+
 async function main(): Promise<void> {
   const fleet = new Fleet();
   const bench = new Bench(fleet);
@@ -166,10 +199,14 @@
       await bench.startAll();
       await bench.whenAllKnow();
     });
+    const counts = [await bench.gossip()];
     await bench.phase('announce', async () => {
       await bench.announceAll();
       await delay(5_000);
     });
+    counts.push(await bench.gossip());
+    console.table(counts);
+    if (SECONDS === 0) return;
     await bench.phase('idle', () => delay(SECONDS * 1_000));
     await bench.phase('first calls', () => bench.call(SECONDS));
     await bench.phase('calls', () => bench.call(SECONDS));
@@ -191,20 +228,8 @@
   } finally {
     await bench.dispose();
     await fleet.dispose();
+    report(bench);
   }
-  console.table(
-    bench.phases.map(({ name, fromUs, untilUs, cpuMs: ms }) => ({
-      phase: name,
-      seconds: Number(((untilUs - fromUs) / 1e6).toFixed(1)),
-      cpuMs: ms,
-      perDaemonAndSecondMs: Number((ms / SIZE / ((untilUs - fromUs) / 1e6)).toFixed(2)),
-    })),
-  );
-  process.stdout.write(`answers ${JSON.stringify([...bench.statuses])}\n`);
-  const result = { daemons: SIZE, rate: RATE, phases: bench.phases };
-  mkdirSync('bench/results', { recursive: true });
-  writeFileSync(`bench/results/manyPeers-${SIZE}.json`, `${JSON.stringify(result, null, 1)}\n`);
-  if (PROFILES) writeFileSync(join(PROFILES, 'phases.json'), JSON.stringify(bench.phases));
 }
 
 await main();
--- a/src/connection/Gossip.ts
+++ b/src/connection/Gossip.ts
@@ -1,4 +1,5 @@
 import type { Clock, DaemonId, Disposable, VersionNumber } from '../common/Types';
+import GossipMeter from './GossipMeter';
 import Outbox from './Outbox';
 import type { Beat, HeadTracker, Membership, MemberRecord } from './Types';
 
@@ -13,6 +14,9 @@
  * them already.
  */
 export default class Gossip implements Disposable {
+  /** Counts what is exchanged. */
+  public readonly meter = new GossipMeter();
+
   private readonly outboxes = new Set<Outbox>();
 
   private readonly subscriptions: readonly Disposable[];
@@ -37,7 +41,7 @@
    * @returns The outbox of a new connection; dispose of it with {@link Gossip.close}.
    */
   public open(peer: DaemonId): Outbox {
-    const outbox = new Outbox(peer);
+    const outbox = new Outbox(peer, this.meter);
     this.outboxes.add(outbox);
     return outbox;
   }
@@ -61,7 +65,9 @@
    * @param source - The peer.
    */
   public receive(records: readonly MemberRecord[], source: DaemonId): void {
-    this.members.merge(records);
+    const news = this.members.merge(records);
+    this.meter.add('recordsReceived', records.length);
+    this.meter.add('recordsNews', news.length);
     for (const outbox of this.outboxes) if (outbox.peer === source) outbox.discard(records);
   }
 
--- a/src/connection/Outbox.ts
+++ b/src/connection/Outbox.ts
@@ -1,6 +1,7 @@
 import sleep from '../common/sleep';
 import withLinkedSignal from '../common/withLinkedSignal';
 import type { DaemonId, VersionNumber } from '../common/Types';
+import type GossipMeter from './GossipMeter';
 import isSameRecord from './isSameRecord';
 import type { MemberRecord } from './Types';
 
@@ -16,8 +17,14 @@
 
   private peerVersion: VersionNumber | null = null;
 
-  /** @param peer - Whom the records are for. */
-  public constructor(public readonly peer: DaemonId) {}
+  /**
+   * @param peer - Whom the records are for.
+   * @param meter - Counts what is sent.
+   */
+  public constructor(
+    public readonly peer: DaemonId,
+    private readonly meter: GossipMeter,
+  ) {}
 
   /** @param version - Version that the peer is known to have. */
   public noteVersion(version: VersionNumber | null): void {
@@ -65,6 +72,8 @@
     const drained = [...this.records.values()];
     this.records.clear();
     this.signalled = false;
+    if (drained.length > 0) this.meter.add('messagesSent');
+    this.meter.add('recordsSent', drained.length);
     return drained;
   }
 
--- a/src/connection/Overlay.ts
+++ b/src/connection/Overlay.ts
@@ -4,6 +4,7 @@
 import sleep from '../common/sleep';
 import withLinkedSignal from '../common/withLinkedSignal';
 import type { Clock, DaemonId, Disposable, Random } from '../common/Types';
+import type { GossipCounts } from './GossipMeter';
 import type PeerAsker from './PeerAsker';
 import PeerLink, { type LinkServices } from './PeerLink';
 import RingView from './RingView';
@@ -56,6 +57,11 @@
     return [...this.links].map(([peer, { link }]) => ({ peer, up: link.isUp }));
   }
 
+  /** What was exchanged since the start. */
+  public get counts(): GossipCounts {
+    return this.services.gossip.meter.counts;
+  }
+
   /** @param signal - Ends the task and every link. */
   public async run(signal: AbortSignal): Promise<void> {
     const wake = { early: new AbortController() };
@@ -126,12 +132,22 @@
       ({ id, health }) => health === 'alive' && now >= (this.unreachable.get(id)?.until ?? 0),
     );
     const wanted = this.rings.successors(members.self, fit);
-    for (const [id, { end }] of this.links) if (!wanted.has(id)) end.abort();
+    for (const [id, { end }] of this.links) if (!wanted.has(id)) this.replace(id, end);
     for (const member of wanted.values()) if (!this.links.has(member.id)) this.open(member);
     this.rings.prune(new Set(live.map(({ id }) => id)));
   }
 
+  /** The link goes once its task has ended, and is seen here until then. */
+  private replace(peer: DaemonId, end: AbortController): void {
+    if (end.signal.aborted) return;
+    const { gossip, logger } = this.services;
+    gossip.meter.add('linksReplaced');
+    logger.log('Ends a link.', { peer, reason: 'no successor any more' });
+    end.abort();
+  }
+
   private open(member: MemberRecord): void {
+    this.services.gossip.meter.add('linksOpened');
     const opened: OpenLink = {
       link: new PeerLink(member, this.services),
       end: new AbortController(),
@@ -148,9 +164,12 @@
       this.unreachable.delete(member.id);
     } catch (error) {
       if (end.signal.aborted) return;
+      this.services.gossip.meter.add('linksLost');
       this.services.logger.log('Lost a peer.', {
         peer: member.id,
         reason: (error as Error).message,
+        lastedMs: Math.round(this.clock.now() - opened),
+        stage: link.stage,
       });
       this.services.fetchSlot.free();
       this.setAside(member.id, this.clock.now() - opened);
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -12,6 +12,9 @@
 const ANSWER_TIMEOUT_MS = 2_000;
 const BEATS_BEFORE_SYNC = 2;
 
+/** What a link last began to do, for the log of its end. */
+export type LinkStage = 'connect' | 'sync' | 'wait' | 'beat';
+
 /** What a link uses of its daemon. */
 export interface LinkServices {
   readonly members: Membership;
@@ -36,6 +39,8 @@
 export default class PeerLink {
   private up = false;
 
+  private doing: LinkStage = 'connect';
+
   private mismatches = 0;
 
   private forced = false;
@@ -58,6 +63,11 @@
     return this.up;
   }
 
+  /** What it last began to do. */
+  public get stage(): LinkStage {
+    return this.doing;
+  }
+
   /** Sends a heartbeat at once. */
   public wake(): void {
     this.forced = true;
@@ -84,6 +94,7 @@
       this.outbox.put([this.services.members.self]);
       const { ended } = connection;
       while (!ended.aborted) {
+        this.doing = 'wait';
         const woken = await this.outbox.wait(this.services.beatMs, ended);
         const due =
           !woken || this.forced || this.outbox.hasNews(this.services.heads.knowledge.version);
@@ -109,6 +120,7 @@
 
   private async beat(connection: PeerConnection): Promise<void> {
     const { gossip, members } = this.services;
+    this.doing = 'beat';
     this.forced = false;
     const update: BeatRequest = { records: this.outbox.drain(), beat: gossip.beat() };
     const reply = await answered(connection.ended, (signal) =>
@@ -146,7 +158,9 @@
   /** Exchanges the member records in which both sides differ. */
   private async sync({ client, ended }: PeerConnection): Promise<void> {
     const { members, gossip } = this.services;
+    this.doing = 'sync';
     const request = { buckets: members.buckets() };
+    gossip.meter.add('syncs');
     const { differing, records } = await answered(ended, (signal) =>
       client.sync.mutate(request, { signal }),
     );
--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -82,6 +82,7 @@
       log: { ...parts.tail.state, checkpointsWritten: parts.checkpointsWritten() },
       members: parts.members.all(),
       links: parts.overlay.state,
+      gossip: parts.overlay.counts,
       calls: { open: parts.calls.openCalls, rememberedAttempts: parts.attempts.size },
       upstream: parts.registration.status,
       controlBytes: parts.meter.bytes,
--- a/src/process/Types.ts
+++ b/src/process/Types.ts
@@ -11,6 +11,7 @@
   ServiceName,
   ZoneName,
 } from '../common/Types';
+import type { GossipCounts } from '../connection/GossipMeter';
 import type { LinkState } from '../connection/Overlay';
 import type { LogTailState, MemberRecord } from '../connection/Types';
 import type { Provenance, Route, Service } from '../version/Types';
@@ -48,6 +49,7 @@
   readonly log: LogTailState & { readonly checkpointsWritten: number };
   readonly members: readonly MemberRecord[];
   readonly links: readonly LinkState[];
+  readonly gossip: GossipCounts;
   readonly calls: { readonly open: number; readonly rememberedAttempts: number };
   readonly upstream: UpstreamStatus | null;
   readonly controlBytes: { readonly received: number; readonly sent: number };
