Don't hold this daemon's own hold-ups against the peers it asked

While 88 daemons start at once, each loses peers and suspects members that are well: an answer's time-out is a timer, and after a hold-up of the event loop timers run before what has come in is read.

The wait for an answer now consists of eight parts that follow each other, so that a hold-up, however long, uses up one of them, and what came in is read before the last one ends. On a daemon that runs the time-outs are as long as before (2 s on a link, 1.5 s for a question), and so is the time until a failed peer is found. Applies to links and to questions on connections of their own (PeerAsker).

--- a/src/connection/PeerAsker.ts
+++ b/src/connection/PeerAsker.ts
@@ -1,6 +1,7 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
 import { Agent, request, type buildConnector, type Dispatcher } from 'undici';
 import type { Address, DaemonId } from '../common/Types';
+import answeredInTime from './answeredInTime';
 import meteredConnector from './meteredConnector';
 import PEER_PATH from './peerPath';
 import type { PeerRouter } from './peerRouter';
@@ -47,7 +48,7 @@
       ],
     });
     try {
-      return await question(client, AbortSignal.timeout(ASK_TIMEOUT_MS));
+      return await answeredInTime([], ASK_TIMEOUT_MS, (signal) => question(client, signal));
     } finally {
       void agent.destroy();
     }
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -1,5 +1,5 @@
 import type { Disposable, Logger } from '../common/Types';
-import withLinkedSignal from '../common/withLinkedSignal';
+import answeredInTime from './answeredInTime';
 import type FetchSlot from './FetchSlot';
 import type Gossip from './Gossip';
 import isSameRecord from './isSameRecord';
@@ -32,7 +32,7 @@
   ended: AbortSignal,
   ask: (signal: AbortSignal) => Promise<Answer>,
 ): Promise<Answer> {
-  return withLinkedSignal([ended], ANSWER_TIMEOUT_MS, ask);
+  return answeredInTime([ended], ANSWER_TIMEOUT_MS, ask);
 }
 
 /** The connection that this daemon opened to one peer, and the task that keeps it in use. */
