Refuse an answer that broke off before its turn instead of ending the connection

An answer that breaks off while it waits behind others on its connection took down the connection when its turn came, and with it the calls behind, though none of it had been written. It is now refused as 502, unknown, and those behind are answered. One that breaks off in the middle ends the connection as before: nothing can follow a part.

Test: of three requests behind each other the second breaks off.

--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -335,6 +335,35 @@
     assert.equal(pipeline.begun, ['/a']);
   }));
 
+test('an answer that breaks off before its turn leaves those behind it theirs', () =>
+  withPipeline(async (pipeline) => {
+    const last = get('/c', 'Connection: close\r\n');
+    const caller = await pipeline.caller(get('/a') + get('/b') + last);
+    await pipeline.running('/a', '/b', '/c');
+    const seen = answersOf(caller);
+    const broken = pipeline.head('/b', 9);
+    broken.push(Buffer.from('b'));
+    await until('it waits', () => pipeline.calls.unsentAnswers === 1);
+    broken.fail('the upstream broke off');
+    pipeline.answer('/c');
+    pipeline.answer('/a');
+    assert.equal(await seen, ['200 OK: a', '502 Bad Gateway: ', '200 OK: c, close']);
+  }));
+
+test('a connection with a request that runs is not idle, however long', () =>
+  withPipeline(async (pipeline) => {
+    pipeline.listener.setTimeouts(60_000, 1);
+    const caller = await pipeline.caller(get('/a') + get('/b', 'Connection: close\r\n'));
+    await pipeline.running('/a', '/b');
+    const seen = answersOf(caller);
+    pipeline.answer('/a');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    pipeline.answer('/b');
+    assert.equal(await seen, ['200 OK: a', '200 OK: b, close']);
+  }));
+
 for (const end of ['end', 'destroy'] as const) {
   for (const rest of ['', 'POST /c HTTP/1.1\r\nHost: mesh\r\nContent-Length: 9\r\n\r\nabc']) {
     test(`a caller's ${end} ${rest && 'in a request '}cancels all that is behind each other`, () =>
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -277,7 +277,10 @@
     });
     const answer = await this.withDeadline(message, leftMs, (signal) => call.run(signal));
     this.stopGuard.note(terms.route, clock.now() - arrivedAt);
-    if (!(await this.takeTurn(message, response, record))) answer.dispose();
+    const due = await this.takeTurn(message, response, record);
+    // Nothing of it has left, so that the connection stays whole for the requests behind.
+    if (due && answer.broken) throw new UnknownOutcomeError('the answer broke off');
+    if (!due) answer.dispose();
     else if (await relayAnswer(answer, response, names)) return;
     Object.assign(record, { reason: 'the answer broke off, or the caller left' });
   }
@@ -305,7 +308,7 @@
     const readyAt = clock.now();
     if (record.heldMs === undefined) this.unsent += 1;
     const due = await record.turn.due();
-    Object.assign(record, { heldMs: clock.now() - readyAt });
+    Object.assign(record, { heldMs: (record.heldMs ?? 0) + clock.now() - readyAt });
     // What is left of a refused body isn't read; the connection can't be used again.
     const ends = this.stopGuard.isStopping || !message.complete;
     if (due && ends && !response.headersSent && record.turn.close()) {
--- a/src/request/StreamedAnswer.ts
+++ b/src/request/StreamedAnswer.ts
@@ -53,6 +53,10 @@
     return this.state !== 'open';
   }
 
+  public get broken(): boolean {
+    return this.state === 'broken';
+  }
+
   /** @param closed - Called once, when the body is complete, broken or given up. */
   public onceClosed(closed: () => void): void {
     if (this.state === 'open') this.closed.push(closed);
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -152,6 +152,8 @@
   readonly load?: UpstreamLoad;
   /** The body, where all of it is here and nobody has taken it. */
   readonly whole?: Buffer | undefined;
+  /** Whether the body broke off, or was given up. */
+  readonly broken?: boolean;
   /**
    * Hands the body over with backpressure, once.
    *
