Give calls up before the farewell of a stop, and leave more time for the process's end

From the review: calls were given up 200 ms before the grace ends, behind the farewell, and the process had about 100 ms left; one late turn of the event loop there would cut the answers that this was made for. They are given up at the deadline now, 400 ms before the end.

--- a/src/process/Daemon.ts
+++ b/src/process/Daemon.ts
@@ -14,7 +14,7 @@
  * Time at the end of a stop, in milliseconds, in which the last answers leave and the process ends;
  * calls that still run then are given up.
  */
-const END_MS = 300;
+const END_MS = 400;
 /**
  * Part of the time that callers have to leave in which the upstream still takes calls; in the rest of
  * it most of what it runs ends.
@@ -111,18 +111,27 @@
     await sleep((1 - LENT_PART) * leaveMs);
     callListener.stopAccepting();
     await this.finish(Promise.all([drained, calls.whenIdle()]), deadline);
+    let leftBehind = this.giveUpLate(deadline);
     members.updateSelf({ state: 'gone' });
     await sleep(FAREWELL_MS);
     // A connection that was open without a request may have brought one.
     await this.finish(calls.whenIdle(), deadline);
-    const leftBehind = calls.openCalls;
-    calls.giveUp();
+    leftBehind = Math.max(leftBehind, this.giveUpLate(deadline));
     await this.finish(calls.whenIdle(), clock.now() + LAST_ANSWERS_MS);
     logger.log('Stopped.', { leftBehind, unsentAnswers: calls.unsentAnswers });
     this.dispose();
     await this.running;
   }
 
+  /** @returns How many calls were given up, as the deadline of the stop has passed. */
+  private giveUpLate(deadline: number): number {
+    const { calls, clock } = this.parts;
+    const { openCalls } = calls;
+    if (openCalls === 0 || clock.now() < deadline) return 0;
+    calls.giveUp();
+    return openCalls;
+  }
+
   /** Waits for work to end, at most until the deadline. */
   private async finish(work: Promise<unknown>, deadline: number): Promise<void> {
     const late = new AbortController();
