Don't hold a failure back for attempts at daemons that are silent

Where all that are open are silent and none can be added, the failure is passed on at once.

Test: both orders of the silence and the failure; without the change the file fails, as the answer never comes ("Exiting early before testing is finished").

--- a/src/request/hedgedAttempt.test.ts
+++ b/src/request/hedgedAttempt.test.ts
@@ -225,4 +225,25 @@
   );
 });
 
+test('an answer that is a failure is not held back for attempts at silent daemons', async () => {
+  const rows: string[] = [];
+  for (const order of ['silent first', 'failed first'] as const) {
+    const { attempt, ends, cancelled } = pair();
+    let sign: () => void = () => undefined;
+    const first: Attempt = (cancel, onSilent) => {
+      sign = onSilent;
+      return attempt(cancel, onSilent);
+    };
+    const seconds: Attempt[] = [attempt];
+    const answer = hedgedAttempt(first, () => seconds.pop(), 0, new CancelSource());
+    await bothOpen(ends);
+    if (order === 'silent first') sign();
+    ends[1]!.resolve(new FakeAnswer('failure', 500));
+    await new Promise(setImmediate);
+    if (order === 'failed first') sign();
+    rows.push(`${order}: ${((await answer) as FakeAnswer).name}, ${cancelled.join()}`);
+  }
+  assert.equal(rows, ['silent first: failure, true,false', 'failed first: failure, true,false']);
+});
+
 test.run();
--- a/src/request/hedgedAttempt.ts
+++ b/src/request/hedgedAttempt.ts
@@ -43,6 +43,13 @@
     let won = false;
     /** The last answer that is a failure, while others may do better. */
     let failure: Answer | undefined;
+    const win = (answer: Answer) => {
+      won = true;
+      clearTimeout(timer);
+      for (const other of open) other.abort(SUPERSEDED);
+      resolve(answer);
+    };
+    const allSilent = () => [...open].every((cancel) => silent.has(cancel));
     const start = async (attempt: Attempt): Promise<void> => {
       const cancel = new CancelSource();
       const leave = () => cancel.abort(signal.reason);
@@ -50,8 +57,10 @@
       else signal.addEventListener('abort', leave, { once: true });
       const noteSilent = () => {
         silent.add(cancel);
+        if (!allSilent()) return;
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- both call each other
-        if ([...open].every((other) => silent.has(other))) startAnother(true);
+        startAnother(true);
+        if (failure && !won && allSilent()) win(failure);
       };
       open.add(cancel);
       try {
@@ -65,13 +74,11 @@
         if (RETRIED_STATUSES.has(answer.status) && open.size > 0) {
           failure = answer;
           // eslint-disable-next-line @typescript-eslint/no-use-before-define -- both call each other
-          startAnother(false);
+          startAnother(allSilent());
+          if (allSilent()) win(answer);
           return;
         }
-        won = true;
-        clearTimeout(timer);
-        for (const other of open) other.abort(SUPERSEDED);
-        resolve(answer);
+        win(answer);
       } catch (error) {
         open.delete(cancel);
         signal.removeEventListener('abort', leave);
