--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -13,6 +13,7 @@
 import type { PipelinePosition } from '../request/Types';
 
 const BAD_REQUEST_STATUS = 400;
+const METHOD_NOT_ALLOWED_STATUS = 405;
 /** HTTP status of a refusal, by the error code of the HTTP parser; 400 for all other codes. */
 const STATUS_BY_PARSE_ERROR: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
@@ -43,6 +44,10 @@
     // server.close() calls this. Node's version also closes connections whose response is still being sent.
     this.server.closeIdleConnections = () => this.closeIdleConnections();
     this.server.on('connection', (socket) => this.registerConnection(socket));
+    // Without a listener, Node.js would close the connection before the responses that are due on it.
+    this.server.on('connect', ({ socket }) =>
+      this.connections.get(socket)!.refuse(METHOD_NOT_ALLOWED_STATUS),
+    );
     this.server.on('clientError', (error, socket) => this.refuse(error, socket as Socket));
   }
 
--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -299,6 +299,25 @@
     }));
 }
 
+test('CONNECT after a request is refused once the request is answered', () =>
+  withPipeline(async (pipeline) => {
+    const tunnel = 'CONNECT x:1 HTTP/1.1\r\nHost: x:1\r\n\r\n';
+    const caller = await pipeline.connectCaller(get('/a') + get('/b') + tunnel + get('/c'));
+    const seen = answersOf(caller);
+    await pipeline.waitUntilRunning('/a', '/b');
+    pipeline.answer('/b');
+    pipeline.answer('/a');
+    assert.equal(await seen, ['200 OK: a', '200 OK: b', '405 Method Not Allowed: , close']);
+    assert.equal(pipeline.started, ['/a', '/b']);
+    assert.equal(pipeline.cancelled, []);
+  }));
+
+test('CONNECT as the first request is refused', () =>
+  withPipeline(async (pipeline) => {
+    const caller = await pipeline.connectCaller('CONNECT x:1 HTTP/1.1\r\nHost: x:1\r\n\r\n');
+    assert.equal(await answersOf(caller), ['405 Method Not Allowed: , close']);
+  }));
+
 for (const [name, sent] of Object.entries({
   head: 'GET /b HTTP/1.1\r\nHost: me',
   body: 'POST /b HTTP/1.1\r\nHost: mesh\r\nContent-Length: 9\r\n\r\nabc',
