Take a response only for the request that it belongs to

Cause: the id of a response was compared only when there was one, and a refusal with the id of an earlier attempt of the same request counted for the next attempt. A refusal that an upstream wrote once more on a kept connection was taken for that of the next request: a charge that ran was called not run, or was sent again and ran twice. A copy with another id cost the caller its answer (502).

Change: AnswerMatcher decides what a response says of the request: only an upstream's first refusal with an id, or without one, is proof. Connections are one undici client each, so that it is known which request is on which; one that brought foreign bytes carries no further request. A request that was refused isn't sent again on that connection.

Weighed: undici takes the first response for the request in progress and can't go on waiting; Node's client ends the connection at a second response; an own client on a parser would replace undici on this hop.

--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -262,11 +262,17 @@
     const { attempts, names, lagMs, waitedMs, clock, logger } = this.services;
     return new LocalUpstream(limits, address, {
       connect: () =>
-        new UpstreamConnections(address, {
-          connections: service.connections,
-          connectMs: CONNECT_TIMEOUT_MS,
-          keepAliveMs: DEFAULT_KEEP_ALIVE_MS,
-        }),
+        new UpstreamConnections(
+          address,
+          {
+            connections: service.connections,
+            connectMs: CONNECT_TIMEOUT_MS,
+            keepAliveMs: DEFAULT_KEEP_ALIVE_MS,
+            idHeader: names.requestId,
+          },
+          (echoedId) =>
+            logger.log('Dropped the answer of another request.', { answerTo: echoedId }),
+        ),
       registry: attempts,
       names,
       lagMs,
--- a/src/request/LocalUpstream.endless.test.ts
+++ b/src/request/LocalUpstream.endless.test.ts
@@ -177,7 +177,12 @@
   const address = await server.listen();
   const clock = new SystemClock();
   let unreachable = '';
-  const options = { connections: 4, connectMs: TEST_TIMEOUT_MS, keepAliveMs: LONG_DEADLINE_MS };
+  const options = {
+    connections: 4,
+    connectMs: TEST_TIMEOUT_MS,
+    keepAliveMs: LONG_DEADLINE_MS,
+    idHeader: DEFAULT_HEADER_NAMES.requestId,
+  };
   const upstream = new LocalUpstream({ slots: 1, queue: 1, warmUpMs: 0 }, address, {
     connect: () => new UpstreamConnections(address, options),
     registry: new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock),
--- a/src/request/LocalUpstream.test.ts
+++ b/src/request/LocalUpstream.test.ts
@@ -12,6 +12,7 @@
 import DEFAULT_HEADER_NAMES from './defaultHeaderNames';
 import LocalUpstream, { type LocalUpstreamServices } from './LocalUpstream';
 import type { Answer, AttemptContext, CallRequest } from './Types';
+import type UpstreamConnection from './UpstreamConnection';
 import UpstreamConnections from './UpstreamConnections';
 
 const LIMITS = { slots: 1, queue: 8, warmUpMs: 0 };
@@ -35,14 +36,22 @@
   const sent: string[] = [];
   const handlers: Dispatcher.DispatchHandler[] = [];
   const clock = new ManualClock();
-  const pool = {
-    dispatch: ({ path }: { path: string }, handler: Dispatcher.DispatchHandler) => {
-      sent.push(path);
-      handlers.push(handler);
+  const connection = {
+    client: {
+      dispatch: ({ path }: { path: string }, handler: Dispatcher.DispatchHandler) => {
+        sent.push(path);
+        handlers.push(handler);
+      },
     },
+    resetMeter: () => undefined,
+    endedGracefully: () => true,
+  } as unknown as UpstreamConnection;
+  const connections = {
+    acquire: (_id: unknown, start: (acquired: UpstreamConnection) => void) => start(connection),
+    release: () => undefined,
   };
   const services = {
-    connect: () => ({ pool, endedGracefully: () => true }),
+    connect: () => connections,
     registry: new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock),
     names: DEFAULT_HEADER_NAMES,
     lagMs: () => 0,
@@ -92,7 +101,12 @@
   const lines: string[] = [];
   const services = {
     connect: () =>
-      new UpstreamConnections(address, { connections: 4, connectMs: 5_000, keepAliveMs: 4_000 }),
+      new UpstreamConnections(address, {
+        connections: 4,
+        connectMs: 5_000,
+        keepAliveMs: 4_000,
+        idHeader: DEFAULT_HEADER_NAMES.requestId,
+      }),
     registry: new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock),
     names: DEFAULT_HEADER_NAMES,
     lagMs: () => 0,
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -1,6 +1,7 @@
 import type { Address, Clock, Disposable, InstanceId, Logger } from '../common/Types';
 import AdmissionController, { type Release, type UpstreamLimits } from './AdmissionController';
 import type AttemptRegistry from './AttemptRegistry';
+import AnswerMatcher, { MISDIRECTED_REQUEST_STATUS, type AnswerMatch } from './AnswerMatcher';
 import { upstreamHeaders } from './callHeaders';
 import abortOverdueBody from './abortOverdueBody';
 import exchange from './exchange';
@@ -35,8 +36,11 @@
 const MIN_SUSPECT_MS = 1_000;
 /** Weight of a new sample in the moving average of failures, which spans about twenty calls. */
 const FAILURE_WEIGHT = 0.05;
-/** HTTP status with which an upstream refuses a request for another instance. */
-const MISDIRECTED_REQUEST_STATUS = 421;
+/** Why the outcome of a request stays unknown, by what its response says of it. */
+const UNUSABLE_ANSWERS = {
+  foreign: 'the connection brought the answer of another request',
+  unproven: 'the connection brought a refusal that may be meant for another request',
+};
 /** Lowest HTTP status that counts as a failure of the upstream. */
 const MIN_FAILURE_STATUS = 500;
 
@@ -71,6 +75,8 @@
 
   private connections: UpstreamConnections;
 
+  private readonly matcher: AnswerMatcher;
+
   /** Moving average of the share of calls that failed at the upstream, 0 to 1. */
   private failureShare = 0;
 
@@ -94,6 +100,7 @@
     const { clock } = services;
     this.origin = `http://${address}`;
     this.connections = services.connect();
+    this.matcher = new AnswerMatcher(services.names);
     this.admission = new AdmissionController(limits, clock, clock.now());
   }
 
@@ -197,10 +204,9 @@
     const sentAt = clock.now();
     let answer: StreamedAnswer;
     try {
-      answer = await exchange({
-        dispatcher: connections.pool,
-        endedGracefully: () => connections.endedGracefully(),
-        currentMeter: () => connections.currentMeter,
+      const result = await exchange({
+        connections,
+        matcher: this.matcher,
         origin: this.origin,
         request,
         headers: upstreamHeaders(request, context, this.instance, names, sentAt),
@@ -208,7 +214,8 @@
         bodyTimeoutMs: BODY_TIMEOUT_MS,
         signal,
       });
-      this.checkAnswer(answer, request);
+      answer = result.answer;
+      this.checkAnswer(answer, result.match);
     } catch (error) {
       const elapsedMs = clock.now() - sentAt;
       release(!(error instanceof ExchangeError) || error.sent);
@@ -232,15 +239,10 @@
    * Throws if a response is a refusal by the upstream, or if it can't be trusted to be the upstream's
    * response to this request.
    */
-  private checkAnswer(answer: StreamedAnswer, request: CallRequest): void {
+  private checkAnswer(answer: StreamedAnswer, match: AnswerMatch): void {
     const { names } = this.services;
     const { headers, status } = answer;
-    const echoed = headers[names.requestId];
-    if (echoed !== undefined && request.requestId !== undefined && echoed !== request.requestId) {
-      answer.dispose();
-      throw new UnknownOutcomeError('the connection brought the answer of another request');
-    }
-    if (headers[names.notExecuted] !== undefined) {
+    if (match === 'refusal') {
       answer.discard();
       const reason =
         status === MISDIRECTED_REQUEST_STATUS
@@ -248,6 +250,10 @@
           : 'the upstream sheds load';
       throw new NotRunError(reason, { reachedUpstream: true });
     }
+    if (match === 'foreign' || match === 'unproven') {
+      answer.dispose();
+      throw new UnknownOutcomeError(UNUSABLE_ANSWERS[match]);
+    }
     const isUnsigned = names.signature !== undefined && headers[names.signature] === undefined;
     if (isUnsigned && status < 400) {
       answer.dispose();
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -57,6 +57,8 @@
 export interface HeaderNames {
   /** On requests: the caller's request id, forwarded unchanged. On responses: the same id, echoed. */
   readonly requestId: string;
+  /** Whether upstreams echo the request id on every response, so that one without it proves nothing. */
+  readonly isRequestIdAlwaysEchoed: boolean;
   /** On requests: milliseconds until the sender's deadline. */
   readonly deadlineMs: string;
   /**
--- a/src/request/UpstreamConnections.test.ts
+++ b/src/request/UpstreamConnections.test.ts
@@ -2,7 +2,9 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { Address } from '../common/Types';
+import AnswerMatcher from './AnswerMatcher';
 import CancelController from './CancelController';
+import DEFAULT_HEADER_NAMES from './defaultHeaderNames';
 import exchange from './exchange';
 import UpstreamConnections from './UpstreamConnections';
 
@@ -33,19 +35,23 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}` as Address;
-  const options = { connections: 1, connectMs: TIMEOUT_MS, keepAliveMs: TIMEOUT_MS };
+  const options = {
+    connections: 1,
+    connectMs: TIMEOUT_MS,
+    keepAliveMs: TIMEOUT_MS,
+    idHeader: DEFAULT_HEADER_NAMES.requestId,
+  };
   const connections = new UpstreamConnections(address, options);
   try {
-    const answer = await exchange({
-      dispatcher: connections.pool,
+    const { answer } = await exchange({
+      connections,
+      matcher: new AnswerMatcher(DEFAULT_HEADER_NAMES),
       origin: `http://${address}`,
       request: { method: 'GET', path: '/', requestId: undefined, headers: [], body: null },
       headers: ['host', 'x'],
       headTimeoutMs: TIMEOUT_MS,
       bodyTimeoutMs: TIMEOUT_MS,
       signal: new CancelController(),
-      endedGracefully: () => connections.endedGracefully(),
-      currentMeter: () => connections.currentMeter,
     });
     let bytes = 0;
     const write = (chunk: Buffer) => {
--- a/src/request/UpstreamConnections.ts
+++ b/src/request/UpstreamConnections.ts
@@ -1,123 +1,93 @@
-import type { Socket } from 'node:net';
-import { buildConnector, Pool } from 'undici';
-import type { Address } from '../common/Types';
-import ConnectionMeter from './ConnectionMeter';
+import type { Address, RequestId } from '../common/Types';
+import UpstreamConnection, { type UpstreamConnectionsOptions } from './UpstreamConnection';
 
-/** Size and timeouts of the pool of connections to one upstream. */
-export interface UpstreamConnectionsOptions {
-  /** Maximum number of connections that are open at the same time. */
-  readonly connections: number;
-  /** Longest time to establish a connection, in milliseconds. */
-  readonly connectMs: number;
-  /** Idle timeout of a connection in ms, unless the upstream announces a shorter one. */
-  readonly keepAliveMs: number;
-}
+export type { UpstreamConnectionsOptions } from './UpstreamConnection';
 
-/** Most bytes of header names and values in a response; the default of Node.js. */
-const MAX_HEADER_BYTES = 16 * 1024;
-/**
- * Bytes that are written to find out whether a connection was reset: an empty line, which HTTP
- * servers ignore before a request.
- */
-const WRITE_PROBE = '\r\n';
+/** A request that waits for a connection. */
+interface Waiter {
+  readonly id: RequestId | undefined;
+  readonly start: (connection: UpstreamConnection) => void;
+}
 
-/**
- * The pool of keep-alive connections to one upstream.
- *
- * For a response body that is delimited by the close of its connection, the HTTP client treats a reset
- * as the regular end. The event loop also reports a reset directly after data as a regular end. The
- * listeners of this class run before those of the client. They detect the first case by the error
- * event and the second one by a probe write, which fails only on a connection that was reset.
- */
+/** The pool of keep-alive connections to one upstream. */
 export default class UpstreamConnections {
-  /** HTTP client that sends requests over the connections. */
-  public readonly pool: Pool;
+  private readonly connections: UpstreamConnection[] = [];
 
-  /** Whether a connection was reset in the event that is being handled. */
-  private wasReset = false;
+  private readonly waiters: Waiter[] = [];
 
-  /** Socket of the connection that the upstream ended in the event that is being handled. */
-  private endedSocket: Socket | undefined;
+  private isClosing = false;
 
-  /** Meter of non-body bytes for the connection from which data was last read. */
-  private readingMeter: ConnectionMeter | undefined;
+  private isDestroyed = false;
 
   /**
    * @param address - Address of the upstream.
    * @param options - Maximum number and timeouts of the connections.
+   * @param onForeignAnswer - Called with the id that a response echoes if it was removed, as it belongs
+   * to another request than the one in progress on its connection.
    */
-  public constructor(address: Address, options: UpstreamConnectionsOptions) {
-    const connect = buildConnector({ timeout: options.connectMs, allowHalfOpen: true });
-    this.pool = new Pool(`http://${address}`, {
-      connections: options.connections,
-      pipelining: 1,
-      maxHeaderSize: MAX_HEADER_BYTES,
-      keepAliveTimeout: options.keepAliveMs,
-      connect: (target, callback) =>
-        connect(target, (...result) => {
-          const socket = result[1];
-          // The HTTP client adds its listeners later, so that these run first for each event.
-          if (socket) this.attachMeter(socket);
-          socket?.on('error', () => this.handleReset());
-          socket?.on('end', () => this.handleEnd(socket));
-          callback(...result);
-        }),
-    });
-  }
+  public constructor(
+    private readonly address: Address,
+    private readonly options: UpstreamConnectionsOptions,
+    private readonly onForeignAnswer: (echoedId: string) => void = () => undefined,
+  ) {}
 
   /**
-   * Must be called when the client reports the end of a response, in the same event.
+   * Assigns a connection to a request, which must be given back by `release`.
    *
-   * @returns Whether the connection that ended with the response was closed gracefully; a promise if a
-   * write to the connection is needed to find out.
+   * @param id - Id of the request; `undefined` if it has none.
+   * @param start - Called with the connection as soon as one is free, possibly before this returns.
    */
-  public endedGracefully(): boolean | Promise<boolean> {
-    if (this.wasReset) return false;
-    const { endedSocket } = this;
-    if (!endedSocket) return true;
-    return new Promise((resolve) => {
-      endedSocket.write(WRITE_PROBE, (error) => resolve(!error));
-    });
+  public acquire(id: RequestId | undefined, start: (connection: UpstreamConnection) => void): void {
+    const idle = this.connections.filter(({ isBusy }) => !isBusy);
+    // A repetition of the request's earlier refusal may come on the connection that brought it.
+    const suitable = idle.find(({ refusedId }) => id === undefined || refusedId !== id);
+    if (!suitable && idle[0]) this.remove(idle[0]);
+    const connection = suitable ?? this.open();
+    if (connection) UpstreamConnections.start(connection, { id, start });
+    else this.waiters.push({ id, start });
   }
 
-  /**
-   * Must be read when the client reports the head of a response, in the same event.
-   *
-   * @returns Meter of non-body bytes for the connection that received the head.
-   */
-  public get currentMeter(): ConnectionMeter | undefined {
-    return this.readingMeter;
+  /** @param connection - Connection whose request has ended. */
+  public release(connection: UpstreamConnection): void {
+    Object.assign(connection, { isBusy: false });
+    const isUnneeded = this.isClosing && this.waiters.length === 0;
+    if (connection.isRetired || isUnneeded) this.remove(connection);
+    const waiter = this.waiters.shift();
+    if (waiter) this.acquire(waiter.id, waiter.start);
   }
 
   /** Closes the connections when the calls on them have ended. */
   public retire(): void {
-    void this.pool.close();
+    this.isClosing = true;
+    for (const connection of [...this.connections]) {
+      if (!connection.isBusy) this.remove(connection);
+    }
   }
 
-  /** Closes the connections immediately. */
+  /** Closes the connections immediately; requests on them and those that wait fail. */
   public destroy(): void {
-    void this.pool.destroy();
+    this.isClosing = true;
+    this.isDestroyed = true;
+    for (const { client } of this.connections.splice(0)) void client.destroy();
+    for (const { id, start } of this.waiters.splice(0)) this.acquire(id, start);
   }
 
-  private attachMeter(socket: Socket): void {
-    const meter = new ConnectionMeter(socket);
-    socket.on('readable', () => {
-      this.readingMeter = meter;
-      meter.enforceLimit();
-    });
+  private open(): UpstreamConnection | undefined {
+    if (this.connections.length >= this.options.connections) return undefined;
+    const connection = new UpstreamConnection(this.address, this.options, this.onForeignAnswer);
+    if (this.isDestroyed) void connection.client.destroy();
+    else this.connections.push(connection);
+    return connection;
   }
 
-  private handleReset(): void {
-    this.wasReset = true;
-    process.nextTick(() => {
-      this.wasReset = false;
-    });
+  private remove(connection: UpstreamConnection): void {
+    const index = this.connections.indexOf(connection);
+    if (index >= 0) this.connections.splice(index, 1);
+    void connection.client.close();
   }
 
-  private handleEnd(socket: Socket): void {
-    this.endedSocket = socket;
-    process.nextTick(() => {
-      this.endedSocket = undefined;
-    });
+  private static start(connection: UpstreamConnection, { id, start }: Waiter): void {
+    connection.begin(id);
+    start(connection);
   }
 }
--- a/src/request/defaultHeaderNames.ts
+++ b/src/request/defaultHeaderNames.ts
@@ -3,6 +3,7 @@
 /** Names of headers on calls and their responses, used unless the platform defines its own. */
 const DEFAULT_HEADER_NAMES: HeaderNames = {
   requestId: 'x-azurestream-request-id',
+  isRequestIdAlwaysEchoed: false,
   deadlineMs: 'x-azurestream-deadline-ms',
   callerService: 'x-azurestream-caller-service',
   expectedInstance: 'x-azurestream-expected-instance',
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -1,13 +1,18 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
-import type ConnectionMeter from './ConnectionMeter';
+import type AnswerMatcher from './AnswerMatcher';
+import type { AnswerHead, AnswerMatch } from './AnswerMatcher';
 import ExchangeError from './ExchangeError';
 import StreamedAnswer from './StreamedAnswer';
 import type { CallRequest, CancelSignal } from './Types';
+import type UpstreamConnection from './UpstreamConnection';
+import type UpstreamConnections from './UpstreamConnections';
 
 /** One HTTP request to one server. */
 export interface Exchange {
-  readonly dispatcher: Dispatcher;
+  readonly connections: UpstreamConnections;
+  /** Decides what the response says of the request. */
+  readonly matcher: AnswerMatcher;
   readonly origin: string;
   readonly request: CallRequest;
   /** Alternating names and values of all headers; replaces the headers of the request. */
@@ -17,10 +22,12 @@
   /** Timeout for pauses within the body of the response, in milliseconds. */
   readonly bodyTimeoutMs: number;
   readonly signal: CancelSignal;
-  /** Whether the connection that just ended with a response was closed gracefully. */
-  readonly endedGracefully: () => boolean | Promise<boolean>;
-  /** Meter of non-body bytes for the connection that just received the head of a response. */
-  readonly currentMeter: () => ConnectionMeter | undefined;
+}
+
+/** The first response to a request. */
+export interface ExchangeResult {
+  readonly answer: StreamedAnswer;
+  readonly match: AnswerMatch;
 }
 
 /** Handles the events of the HTTP client for one request. */
@@ -34,7 +41,8 @@
 
   private controller: Dispatcher.DispatchController | undefined;
 
-  private meter: ConnectionMeter | undefined;
+  /** The assigned connection, until the exchange has ended. */
+  private connection: UpstreamConnection | undefined;
 
   /** Parts of the response body that the HTTP client parsed in the event that is being handled. */
   private parts: Buffer[] = [];
@@ -47,16 +55,33 @@
   };
 
   public constructor(
-    private readonly signal: CancelSignal,
-    private readonly endedGracefully: Exchange['endedGracefully'],
-    private readonly currentMeter: Exchange['currentMeter'],
-    private readonly resolve: (answer: StreamedAnswer) => void,
+    private readonly options: Exchange,
+    private readonly resolve: (result: ExchangeResult) => void,
     private readonly reject: (error: ExchangeError) => void,
   ) {
+    const { signal } = options;
     this.cancelled = signal.aborted;
     signal.addEventListener('abort', this.abort, { once: true });
   }
 
+  /** @param connection - Connection to send the request on. */
+  public start(connection: UpstreamConnection): void {
+    const { request, origin, headers, headTimeoutMs, bodyTimeoutMs } = this.options;
+    this.connection = connection;
+    connection.client.dispatch(
+      {
+        origin,
+        path: request.path,
+        method: request.method,
+        headers,
+        body: request.body,
+        headersTimeout: headTimeoutMs,
+        bodyTimeout: bodyTimeoutMs,
+      },
+      this,
+    );
+  }
+
   public onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     // The client may repeat a request on another connection, but a request must not run twice.
@@ -71,11 +96,16 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (status < 200) return;
-    this.meter = this.currentMeter();
-    this.meter?.resetCount();
+    const { signal, matcher, request } = this.options;
+    const { connection } = this;
+    connection?.resetMeter();
+    const head: AnswerHead = { status, headers };
+    const match = matcher.match(head, request.requestId);
+    if (match === 'refusal' && connection) connection.refusedId = request.requestId;
+    if (!matcher.allowsReuse(head)) connection?.retire();
     this.answer = new StreamedAnswer(status, headers, controller);
-    this.answer.onceClosed(() => this.signal.removeEventListener('abort', this.abort));
-    this.resolve(this.answer);
+    this.answer.onceClosed(() => signal.removeEventListener('abort', this.abort));
+    this.resolve({ answer: this.answer, match });
   }
 
   public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -84,12 +114,14 @@
 
   public onResponseEnd(): void {
     this.flush();
-    const { answer } = this;
+    const { answer, connection } = this;
+    const endedGracefully = connection?.endedGracefully() ?? true;
+    this.releaseConnection();
     if (!answer) return;
     // A body without length or transfer coding is delimited by the close of its connection.
     const { 'content-length': length, 'transfer-encoding': coding } = answer.headers;
     if (length !== undefined || coding !== undefined) answer.complete();
-    else void this.endCloseDelimited(answer);
+    else void ExchangeHandler.endCloseDelimited(answer, endedGracefully);
   }
 
   /**
@@ -99,48 +131,47 @@
   private flush(): void {
     const { parts } = this;
     this.parts = [];
-    this.meter?.resetCount();
+    this.connection?.resetMeter();
     if (parts.length > 0) this.answer?.push(parts.length > 1 ? Buffer.concat(parts) : parts[0]!);
   }
 
-  private async endCloseDelimited(answer: StreamedAnswer): Promise<void> {
-    if (await this.endedGracefully()) answer.complete();
-    else answer.fail('the connection was reset');
-  }
-
   public onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    this.signal.removeEventListener('abort', this.abort);
+    this.options.signal.removeEventListener('abort', this.abort);
     this.flush();
+    this.releaseConnection();
     if (this.answer) this.answer.fail(error.message);
     else {
       const { code } = error as NodeJS.ErrnoException;
       this.reject(new ExchangeError(error.message, this.dispatched, this.cancelled, code));
     }
   }
+
+  private releaseConnection(): void {
+    const { connection } = this;
+    this.connection = undefined;
+    if (connection) this.options.connections.release(connection);
+  }
+
+  private static async endCloseDelimited(
+    answer: StreamedAnswer,
+    endedGracefully: boolean | Promise<boolean>,
+  ): Promise<void> {
+    if (await endedGracefully) answer.complete();
+    else answer.fail('the connection was reset');
+  }
 }
 
 /**
  * Sends an HTTP request over one hop.
  *
  * @param options - Request, target, timeouts and cancellation.
- * @returns The response, as soon as its head has arrived.
+ * @returns The response and what it says of the request, as soon as its head has arrived.
  * @throws ExchangeError - There was no response; `sent` is whether the request may have been received.
  */
-export default function exchange(options: Exchange): Promise<StreamedAnswer> {
-  const { dispatcher, request, signal, endedGracefully, currentMeter } = options;
+export default function exchange(options: Exchange): Promise<ExchangeResult> {
+  const { connections, request } = options;
   return new Promise((resolve, reject) => {
-    const handler = new ExchangeHandler(signal, endedGracefully, currentMeter, resolve, reject);
-    dispatcher.dispatch(
-      {
-        origin: options.origin,
-        path: request.path,
-        method: request.method,
-        headers: options.headers,
-        body: request.body,
-        headersTimeout: options.headTimeoutMs,
-        bodyTimeout: options.bodyTimeoutMs,
-      },
-      handler,
-    );
+    const handler = new ExchangeHandler(options, resolve, reject);
+    connections.acquire(request.requestId, (connection) => handler.start(connection));
   });
 }
