Let a filtered connection read zero bytes without taking its data

Cause: streams call their own read(0) to start input; the filter's read took all received bytes for such a call and dropped them, so that a response of 3 MB stalled until its body timeout.

--- a/src/request/UpstreamConnection.ts
+++ b/src/request/UpstreamConnection.ts
@@ -146,7 +146,9 @@
   private static filterReads(socket: Socket, filter: AnswerFilter): void {
     const read = socket.read.bind(socket);
     Object.defineProperty(socket, 'read', {
-      value: (): Buffer | null => {
+      value: (size?: number): Buffer | null => {
+        // The stream itself reads 0 bytes to start further input.
+        if (size !== undefined) return read(size) as Buffer | null;
         for (;;) {
           const chunk = read() as Buffer | null;
           const passed = chunk ? filter.filter(chunk) : null;
