Start the daemon from a bundle of its own, with the parts of undici that it uses

Change: azurestream-daemon.cjs holds only the daemon; scripts/undiciCore.cjs replaces undici's main module in bundles (735 to 374 kB).

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,6 @@
 import { build } from 'esbuild';
 import { readFileSync } from 'node:fs';
+import { resolve } from 'node:path';
 
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'));
 
@@ -18,8 +19,17 @@
   };
 }
 
+/** Replaces the HTTP client's main module by the parts of it that are used. */
+const undiciPlugin = {
+  name: 'undici',
+  setup(bundler) {
+    const path = resolve('scripts/undiciCore.cjs');
+    bundler.onResolve({ filter: /^undici$/ }, () => ({ path }));
+  },
+};
+
 /**
- * Bundles the daemon and the stand-ins, one CommonJS file each.
+ * Bundles the command line, the daemon alone and the stand-ins, one CommonJS file each.
  *
  * @param outdir - Folder for the bundles.
  * @param mutant - Replacement of text in a source file, and optionally a second one (`also`), for
@@ -29,6 +39,7 @@
   await build({
     entryPoints: {
       azurestream: 'src/command/main.ts',
+      'azurestream-daemon': 'src/command/daemonMain.ts',
       'stand-in-log': 'stand-in/logMain.ts',
       'stand-in-upstream': 'stand-in/upstreamMain.ts',
     },
@@ -48,6 +59,6 @@
     banner: {
       js: "const importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;",
     },
-    plugins: [mutant, mutant?.also].filter(Boolean).map(mutationPlugin),
+    plugins: [undiciPlugin, ...[mutant, mutant?.also].filter(Boolean).map(mutationPlugin)],
   });
 }
--- a/src/command/run.ts
+++ b/src/command/run.ts
@@ -1,13 +1,10 @@
 import { watchFile } from 'node:fs';
-import { setFlagsFromString } from 'node:v8';
 import { readSettings } from '../process/settings';
 import SettingsHolder from '../process/SettingsHolder';
 import wireDaemon from '../process/wireDaemon';
 import CommandError from './CommandError';
 import { EXIT_CODES, type Command } from './Types';
 
-/** Semi-space size of the young generation. More space means fewer GC pauses, which delay calls. */
-const SEMI_SPACE_MIB = 16;
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 /** Poll interval for changes of the settings file, so that a reload doesn't need SIGHUP. */
 const SETTINGS_POLL_MS = 2_000;
@@ -35,8 +32,6 @@
     if (!flags.settings) {
       throw new CommandError('found no --settings, expected a TOML file', EXIT_CODES.usage);
     }
-    setFlagsFromString(`--semi-space-growth-factor=2`);
-    setFlagsFromString(`--min-semi-space-size=${SEMI_SPACE_MIB}`);
     const stop = stopRequested();
     const settings = new SettingsHolder(flags.settings, readSettings(flags.settings));
     const daemon = await wireDaemon(settings);
