Let fewer daemons call the platform's store

Change: three zones watch the store (log.reader_zones; the poll stays at 2 s, so that a silent connection is noticed within 3 s); a durable contact is stored once, and only the first daemon of the fleet looks through the contacts; a daemon that finds none waits up to a second before it stores its own.

--- a/src/connection/CheckpointWriter.ts
+++ b/src/connection/CheckpointWriter.ts
@@ -6,7 +6,7 @@
 import LogError from './LogError';
 import type LogTailer from './LogTailer';
 import type { HeadTracker, Log, Membership } from './Types';
-import ZoneRank from './ZoneRank';
+import MemberRank from './MemberRank';
 
 const CHECK_INTERVAL_MS = 500;
 /**
@@ -34,7 +34,7 @@
  * only uses a checkpoint that covers records it missed.
  */
 export default class CheckpointWriter implements Disposable {
-  private readonly rank: ZoneRank;
+  private readonly rank: MemberRank;
 
   private written = 0;
 
@@ -50,7 +50,7 @@
     private readonly random: Random,
     private readonly logger: Logger,
   ) {
-    this.rank = new ZoneRank(members, 'checkpoint-writer');
+    this.rank = new MemberRank(members, 'checkpoint-writer');
     this.startedAt = clock.now();
   }
 
--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -102,7 +102,7 @@
     store,
     new PeerHeadTracker(versions, clock),
     members,
-    { readersPerZone: 1, staleMs: 60_000 },
+    { readersPerZone: 1, readerZones: 1, staleMs: 60_000 },
     clock,
     new SeededRandom(3),
     { log: () => undefined },
--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -15,7 +15,7 @@
   LogReaderState,
   PublishedConfiguration,
 } from './Types';
-import ZoneRank from './ZoneRank';
+import MemberRank from './MemberRank';
 
 /**
  * Wait of a long poll for a newer configuration; an empty response confirms that the known one is
@@ -34,6 +34,8 @@
 export interface ConfigurationWatcherOptions {
   /** Number of daemons in each zone that watch the store. */
   readonly readersPerZone: number;
+  /** Number of zones whose daemons watch the store; the others learn from their peers. */
+  readonly readerZones: number;
   /**
    * If the configuration has not been confirmed by peers to be the newest for this many ms, a daemon
    * reads the store itself.
@@ -43,12 +45,12 @@
 
 /**
  * Watches a store that retains the newest complete configuration. Every daemon reads the store once
- * at startup; afterwards only the first-ranked daemons of each zone read it, and the others receive
+ * at startup; afterwards only the first-ranked daemons of some zones read it, and the others receive
  * changes from peers. A daemon whose reads fail sets `readsLog` to false in its member record, and
  * the next daemon by rank takes over.
  */
 export default class ConfigurationWatcher implements Disposable {
-  private readonly rank: ZoneRank;
+  private readonly rank: MemberRank;
 
   /** Offset at which the next read starts; `undefined` to read the newest configuration. */
   private nextOffset: Offset | undefined;
@@ -72,7 +74,7 @@
     private readonly random: Random,
     private readonly logger: Logger,
   ) {
-    this.rank = new ZoneRank(members, 'log-reader');
+    this.rank = new MemberRank(members, 'log-reader');
   }
 
   /** Whether any read of the store has succeeded since the start of this daemon. */
@@ -122,7 +124,8 @@
   }
 
   private isReader(): boolean {
-    return this.rank.value < this.options.readersPerZone;
+    const { readersPerZone, readerZones } = this.options;
+    return this.rank.value < readersPerZone && this.rank.ofZone < readerZones;
   }
 
   private shouldRead(): boolean {
--- a/src/connection/Joiner.ts
+++ b/src/connection/Joiner.ts
@@ -4,12 +4,17 @@
 import type { Address, Clock, DaemonId, Disposable, Logger, Random } from '../common/Types';
 import LogError from './LogError';
 import type { Contact, ContactStore, Introducer, Membership } from './Types';
-import ZoneRank from './ZoneRank';
+import MemberRank from './MemberRank';
 
 const MAX_CONCURRENT_CONTACTS = 4;
 /** Number of daemons in each zone that keep their contacts in the store. */
 const ANNOUNCERS_PER_ZONE = 2;
 const CHECK_INTERVAL_MS = 2_000;
+/**
+ * Longest random wait, in milliseconds, before a daemon that found no stored contact stores its own. Of
+ * daemons that all start for the first time, the earliest store theirs and the others find them.
+ */
+const FIRST_CONTACT_SPREAD_MS = 1_000;
 /** Backoff between attempts to join while this daemon has no live peers. */
 const ISOLATED_BACKOFF: Backoff = { baseMs: 300, capMs: 10_000 };
 
@@ -47,9 +52,13 @@
  * each zone in the store. Further members are learned by gossip.
  */
 export default class Joiner implements Disposable {
-  private readonly rank: ZoneRank;
+  private readonly rank: MemberRank;
 
-  private refreshedAt: number | undefined;
+  /** Monotonic time in ms at which this daemon's contact was last stored. */
+  private announcedAt: number | undefined;
+
+  /** Monotonic time in ms at which the stored contacts were last looked through. */
+  private lookedAt: number | undefined;
 
   public constructor(
     private readonly store: ContactStore,
@@ -60,7 +69,7 @@
     private readonly random: Random,
     private readonly logger: Logger,
   ) {
-    this.rank = new ZoneRank(members, 'announcer');
+    this.rank = new MemberRank(members, 'announcer');
   }
 
   /** @param signal - Stops the task. */
@@ -102,29 +111,42 @@
   }
 
   private async contactStored(signal: AbortSignal): Promise<void> {
-    const contacts = await this.store.contacts(signal);
+    let contacts = await this.store.contacts(signal);
+    if (contacts.length === 0) {
+      await sleep(this.random.below(FIRST_CONTACT_SPREAD_MS), signal);
+      contacts = await this.store.contacts(signal);
+    }
     const reached = await this.introduceToSome(contacts);
     const announced = contacts.some(({ address }) => address === this.members.self.address);
     if (!reached && !announced) await this.announce();
   }
 
   /**
-   * Renews this daemon's contact in the store if it is one of the announcers of its zone, and
-   * contacts stored daemons that it doesn't know, so that separated groups of daemons merge.
+   * Keeps this daemon's contact in the store if it is one of the announcers of its zone. Contacts stored
+   * daemons that it doesn't know, so that separated groups of daemons merge; each group has a first
+   * member that does so.
    */
   private async refreshAnnouncement(signal: AbortSignal): Promise<void> {
-    if (this.rank.value >= ANNOUNCERS_PER_ZONE) return;
-    const now = this.clock.now();
-    if (this.refreshedAt !== undefined && now - this.refreshedAt < this.options.refreshMs) return;
-    const contacts = await this.store.contacts(signal);
-    await this.introduceToSome(contacts.filter(({ id }) => !this.members.get(id)));
-    await this.announce();
+    const isAnnouncer = this.rank.value < ANNOUNCERS_PER_ZONE;
+    const isStored = this.store.isDurable && this.announcedAt !== undefined;
+    const announces = isAnnouncer && !isStored && this.isDue(this.announcedAt);
+    const looks = this.store.isDurable ? this.rank.isFirstOfFleet : isAnnouncer;
+    if (looks && this.isDue(this.lookedAt)) {
+      const contacts = await this.store.contacts(signal);
+      this.lookedAt = this.clock.now();
+      await this.introduceToSome(contacts.filter(({ id }) => !this.members.get(id)));
+    }
+    if (announces) await this.announce();
+  }
+
+  private isDue(doneAt: number | undefined): boolean {
+    return doneAt === undefined || this.clock.now() - doneAt >= this.options.refreshMs;
   }
 
   private async announce(): Promise<void> {
     const { id, address } = this.members.self;
     await this.store.announce({ id, address });
-    this.refreshedAt = this.clock.now();
+    this.announcedAt = this.clock.now();
   }
 
   /** Contacts a few daemons concurrently, since each one that is gone takes a second to time out. */
--- a/src/connection/LogContacts.ts
+++ b/src/connection/LogContacts.ts
@@ -9,6 +9,9 @@
 
 /** Stores contacts in the `joins` stream of the log. */
 export default class LogContacts implements ContactStore {
+  /** The log drops old records. */
+  public readonly isDurable = false;
+
   public constructor(
     private readonly log: Log,
     private readonly logger: Logger,
--- a/src/connection/LogTailer.ts
+++ b/src/connection/LogTailer.ts
@@ -8,7 +8,7 @@
 import LogExpiredError from './LogExpiredError';
 import type { HeadTracker, Log, LogBatch, LogReaderState, Membership } from './Types';
 import LogUnavailableError from './LogUnavailableError';
-import ZoneRank from './ZoneRank';
+import MemberRank from './MemberRank';
 
 /** Longest wait of a read at the end of the configuration stream for a further record. */
 const LONG_POLL_WAIT_MS = 2_000;
@@ -33,7 +33,7 @@
  * inconsistent view of the members only causes additional reads.
  */
 export default class LogTailer implements Disposable {
-  private readonly rank: ZoneRank;
+  private readonly rank: MemberRank;
 
   private replay: ConfigurationReplay | undefined;
 
@@ -57,7 +57,7 @@
     private readonly random: Random,
     private readonly logger: Logger,
   ) {
-    this.rank = new ZoneRank(members, 'log-reader');
+    this.rank = new MemberRank(members, 'log-reader');
   }
 
   public get state(): LogReaderState {
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -121,6 +121,8 @@
 
 /** Stores the contacts through which a daemon without peers can join the others. */
 export interface ContactStore {
+  /** Whether a contact is kept for good, so that it needn't be renewed. */
+  readonly isDurable: boolean;
   /**
    * @param signal - Cancels the read.
    * @returns Ids and addresses of daemons that announced themselves.
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -55,6 +55,7 @@
     stream_prefix: z.string().default(''),
     retention: duration('24h'),
     readers_per_zone: integer(1, 100, 2),
+    reader_zones: integer(1, 1_000, 1_000),
     stale: duration('15s'),
   }),
   peers: z
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -200,14 +200,20 @@
   heads: PeerHeadTracker,
 ): ConfigurationSource {
   const { settings, resources, clock, random, meter, logger } = core;
-  const { address, retention, readers_per_zone: readersPerZone, stale: staleMs } = settings.log;
+  const {
+    address,
+    retention,
+    readers_per_zone: readersPerZone,
+    reader_zones: readerZones,
+    stale: staleMs,
+  } = settings.log;
   const store = resources.add(new PlatformStore(address, meter, logger('store')));
   const watcher = resources.add(
     new ConfigurationWatcher(
       store,
       heads,
       members,
-      { readersPerZone, staleMs },
+      { readersPerZone, readerZones, staleMs },
       clock,
       random,
       logger('store'),
