Charge the retry budget for calls that a repeated call makes again

A call whose caller was run again arrives again too, and was counted as a first one. Change: such a call is recorded as a repeat, so that fewer retries are left.

--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -163,6 +163,8 @@
   public async run(signal: CancelSignal): Promise<Answer> {
     if (signal.aborted) throw new NotRunError('the call was given up before it was begun');
     this.budget.deposit(this.policy.retryBudget);
+    // The call exists only because a call above it was repeated.
+    if (this.attemptsAbove > 1) this.budget.chargeRepeat();
     for (let tryNumber = 1; ; tryNumber += 1) {
       const upstream = this.choose();
       if (!upstream) throw this.finalError(new NotRunError('no upstream takes the call'));
--- a/src/request/RetryBudget.test.ts
+++ b/src/request/RetryBudget.test.ts
@@ -49,4 +49,35 @@
   assert.ok(unlimited.retries > unlimited.allowed, 'without a budget the limit is exceeded');
 });
 
+/** Share of the calls that were made by a repeated call and so arrive a second time. */
+const REPEATED_SHARE = 0.15;
+
+test('calls that arrive again because a call above them was repeated leave less for retries', () => {
+  let repeats = 0;
+  const budgeted = worstWindow((clock) => {
+    const allowance = {
+      windowMs: () => WINDOW_MS,
+      slack: () => SLACK / DAEMONS,
+      maxShare: () => 1,
+    };
+    const budget = new RetryBudget(allowance, clock);
+    let calls = 0;
+    return {
+      call: () => {
+        calls += 1;
+        budget.deposit(RATIO);
+        if (Math.floor(calls * REPEATED_SHARE) > Math.floor((calls - 1) * REPEATED_SHARE)) {
+          repeats += 1;
+          budget.chargeRepeat();
+          return false;
+        }
+        return budget.withdraw();
+      },
+    };
+  });
+  const windows = 4;
+  const arrivals = budgeted.retries + repeats / windows;
+  assert.ok(arrivals <= budgeted.allowed, `${arrivals} of ${budgeted.allowed}`);
+});
+
 test.run();
--- a/src/request/RetryBudget.ts
+++ b/src/request/RetryBudget.ts
@@ -55,6 +55,11 @@
     this.currentBucket().calls += 1;
   }
 
+  /** Records a call that is a repetition itself, as a call above it was repeated; it isn't refused. */
+  public chargeRepeat(): void {
+    this.currentBucket().retries += 1;
+  }
+
   /** @returns Whether a retry or hedge is within the budget; if so, it is recorded as made. */
   public withdraw(): boolean {
     const current = this.currentBucket();
