--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -13,6 +13,12 @@
 import type { PipelinePosition } from '../request/Types';
 
 const BAD_REQUEST_STATUS = 400;
+/**
+ * Number of connections that may wait to be accepted. The event loop accepts one per turn, so that a
+ * longer queue would hold connections until their callers have given up; all that are accepted then are
+ * stale.
+ */
+const ACCEPT_BACKLOG = 64;
 const METHOD_NOT_ALLOWED_STATUS = 405;
 /** HTTP status of a refusal, by the error code of the HTTP parser; 400 for all other codes. */
 const STATUS_BY_PARSE_ERROR: Readonly<Record<string, number>> = {
@@ -82,7 +88,8 @@
     const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen({ host, port: Number(address.slice(separator + 1)) }, resolve);
+      const port = Number(address.slice(separator + 1));
+      this.server.listen({ host, port, backlog: ACCEPT_BACKLOG }, resolve);
     });
     const { port } = this.server.address() as AddressInfo;
     return `${address.slice(0, separator)}:${port}` as Address;
--- a/src/request/ArrivalQueue.test.ts
+++ b/src/request/ArrivalQueue.test.ts
@@ -43,10 +43,8 @@
 
 test('a burst is spread over short turns, in the order of arrival', async () => {
   const { started, turnsMs, longestWaitMs, left } = await replayBurst(() => false);
-  assert.equal(
-    started,
-    Array.from({ length: CALLS }, (_, call) => call),
-  );
+  const inOrder = Array.from({ length: CALLS }, (_, call) => call);
+  assert.equal(started, inOrder);
   // All at once, one turn would take 120 ms and accept a single connection.
   assert.ok(Math.max(...turnsMs) <= 6, `a turn of ${Math.max(...turnsMs)} ms`);
   assert.ok(longestWaitMs > 100, `a wait of ${longestWaitMs} ms`);
--- a/src/request/OverloadGuard.ts
+++ b/src/request/OverloadGuard.ts
@@ -42,8 +42,8 @@
    */
   public shouldRefuse(objectiveMs: number, shortestObjectiveMs: number): boolean {
     const lagMs = this.lagMs();
-    if (lagMs <= MIN_LAG_MS || OverloadGuard.isExempt(objectiveMs, shortestObjectiveMs))
-      return false;
+    if (lagMs <= MIN_LAG_MS) return false;
+    if (OverloadGuard.isExempt(objectiveMs, shortestObjectiveMs)) return false;
     const share = Math.min(MAX_REFUSED_SHARE, (lagMs - MIN_LAG_MS) / (MAX_LAG_MS - MIN_LAG_MS));
     return this.random.below(RANDOM_STEPS) < share * RANDOM_STEPS;
   }
