Start calls in the turn in which they arrive again

ArrivalQueue spread the start of calls over short turns of the event loop, so that connections would be accepted sooner. What holds turns up is not the start of calls alone.

--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -11,7 +11,6 @@
 import * as assert from 'uvu/assert';
 import SystemClock from '../common/SystemClock';
 import type { Address } from '../common/Types';
-import ArrivalQueue from '../request/ArrivalQueue';
 import CallHandler, { type CallHandlerServices } from '../request/CallHandler';
 import NotRunError from '../request/NotRunError';
 import StreamedAnswer from '../request/StreamedAnswer';
@@ -109,7 +108,6 @@
       logger: { log: () => undefined },
       onCallEnd: () => undefined,
       overloadGuard: { shouldRefuse: () => false },
-      arrivals: new ArrivalQueue(new SystemClock()),
       acceptedAfterMs: () => 0,
       positionOf: (response: never) => listener.positionOf(response),
       isCurrent: () => true,
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -29,7 +29,6 @@
 import probeDaemon from '../connection/probeDaemon';
 import SocketMeter from '../connection/SocketMeter';
 import type { ContactStore, LogReaderState, MemberRecord } from '../connection/Types';
-import ArrivalQueue from '../request/ArrivalQueue';
 import AttemptRegistry, { DEFAULT_REGISTRY_OPTIONS } from '../request/AttemptRegistry';
 import CallChannels from '../request/CallChannels';
 import CallHandler from '../request/CallHandler';
@@ -376,8 +375,6 @@
   const { daemon: own, calls } = settings;
   const retries = () => settingsHolder.current.retries;
   let attemptNumber = 0;
-  const arrivals = new ArrivalQueue(clock);
-  const lagMs = () => Math.max(lag.currentMs, arrivals.waitMs);
   return new CallHandler({
     versions,
     directory: members,
@@ -403,12 +400,11 @@
       slack: () => retries().slack / (retries().shared ? members.live().length : 1),
       maxShare: () => retries().ratio ?? 1,
     },
-    lagMs,
+    lagMs: () => lag.currentMs,
     waitedMs: () => lag.maxReadDelayMs,
     onAttempt: metrics.onAttempt,
     onCallEnd: metrics.onCall,
-    overloadGuard: new OverloadGuard(lagMs, random),
-    arrivals,
+    overloadGuard: new OverloadGuard(() => lag.currentMs, random),
     acceptedAfterMs: (socket) => acceptDelays.takeMaxDelayMs(socket),
     positionOf: (response) => listener.positionOf(response),
     isCurrent: () => readiness.isCurrent,
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -3,14 +3,13 @@
 import type { Logger, RequestId, ServiceName } from '../common/Types';
 import type { CurrentVersion, Route } from '../version/Types';
 import Call, { type CallServices, type CallPolicy } from './Call';
-import type ArrivalQueue from './ArrivalQueue';
 import { ATTEMPTS_HEADER, positiveHeader } from './callHeaders';
 import type CallError from './CallError';
 import CALLER_LEFT from './callerLeft';
 import CancelController from './CancelController';
 import DeadlineError from './DeadlineError';
 import NotRunError from './NotRunError';
-import OverloadGuard from './OverloadGuard';
+import type OverloadGuard from './OverloadGuard';
 import readRequest from './readRequest';
 import { refuseCall, relayAnswer, type Refusal } from './relayAnswer';
 import RequestError from './RequestError';
@@ -65,7 +64,6 @@
   readonly logger: Logger;
   readonly onCallEnd: (report: CallReport) => void;
   readonly overloadGuard: OverloadGuard;
-  readonly arrivals: ArrivalQueue;
   /**
    * Returns the longest time in milliseconds that a connection may have waited to be accepted; 0
    * from the second request on the connection on.
@@ -80,17 +78,13 @@
 /** Fields collected for the log line of a call. */
 interface CallLogRecord {
   readonly position: PipelinePosition;
-  /** Monotonic time in ms at which the head of the request was read. */
-  readonly readAt: number;
-  /** Longest time in milliseconds that the head of the request may have waited to be read. */
-  readonly readDelayMs: number;
   /** Milliseconds that the finished response waited for earlier responses on its connection. */
   heldMs?: number;
   requestId?: RequestId;
   route?: string;
   service?: string;
   allowedMs?: number;
-  /** Longest time in milliseconds that the request may have waited to be read and started. */
+  /** Longest time in milliseconds that the request may have waited to be read. */
   waitedMs?: number;
   /** Longest time in milliseconds that the request's connection may have waited to be accepted. */
   acceptedAfterMs?: number;
@@ -200,24 +194,17 @@
    * @param response - Response to the caller.
    */
   public async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { clock, waitedMs } = this.services;
-    const readAt = clock.now();
+    const startedAt = this.services.clock.now();
     const position = this.services.positionOf(response);
-    const record: CallLogRecord = {
-      position,
-      readAt,
-      readDelayMs: waitedMs(),
-      outcome: 'answered',
-    };
+    const record: CallLogRecord = { position, outcome: 'answered' };
     this.active += 1;
     try {
-      await this.whenStarted(message);
       await this.answer(message, response, record);
     } catch (error) {
       await this.refuse(this.toRefusal(error as Error), message, response, record);
     } finally {
       this.active -= 1;
-      const durationMs = clock.now() - readAt - (record.heldMs ?? 0);
+      const durationMs = this.services.clock.now() - startedAt - (record.heldMs ?? 0);
       this.services.onCallEnd({ outcome: record.outcome, status: response.statusCode, durationMs });
       this.log(record, response.statusCode, durationMs);
       void position.whenSent().then(() => {
@@ -240,17 +227,6 @@
     return budget;
   }
 
-  /** Waits until the event loop has time to start the call. */
-  private whenStarted(message: IncomingMessage): Promise<void> {
-    const { arrivals, versions } = this.services;
-    const route = this.match(message.method!, message.headers.host ?? '', message.url!);
-    const shortestMs = versions.snapshot?.shortestObjectiveMs ?? 0;
-    const isUrgent = route !== undefined && OverloadGuard.isExempt(route.objectiveMs, shortestMs);
-    return new Promise((resolve) => {
-      arrivals.add(isUrgent, resolve);
-    });
-  }
-
   private get isIdle(): boolean {
     return this.active === 0 && this.unsentCount === 0;
   }
@@ -290,15 +266,15 @@
     policy: CallPolicy,
     record: CallLogRecord,
   ): Promise<void> {
-    const { clock, names, overloadGuard, versions, acceptedAfterMs } = this.services;
-    const arrivedAt = record.readAt - record.readDelayMs;
-    const waitedMs = clock.now() - arrivedAt;
+    const { clock, names, overloadGuard, versions, waitedMs, acceptedAfterMs } = this.services;
+    const readDelayMs = waitedMs();
+    const arrivedAt = clock.now() - readDelayMs;
     const acceptDelayMs = acceptedAfterMs(message.socket);
     Object.assign(record, {
-      waitedMs: Math.round(waitedMs),
+      waitedMs: Math.round(readDelayMs),
       acceptedAfterMs: Math.round(acceptDelayMs),
     });
-    await awaitPendingCloses(Math.max(waitedMs, acceptDelayMs));
+    await awaitPendingCloses(Math.max(readDelayMs, acceptDelayMs));
     const requestedMs = positiveHeader(message.headers, names.deadlineMs, Infinity);
     const allowedMs = Math.min(requestedMs, policy.route.timeoutMs);
     const attempts = positiveHeader(message.headers, ATTEMPTS_HEADER, 0);
--- a/src/request/OverloadGuard.ts
+++ b/src/request/OverloadGuard.ts
@@ -42,18 +42,8 @@
    */
   public shouldRefuse(objectiveMs: number, shortestObjectiveMs: number): boolean {
     const lagMs = this.lagMs();
-    if (lagMs <= MIN_LAG_MS) return false;
-    if (OverloadGuard.isExempt(objectiveMs, shortestObjectiveMs)) return false;
+    if (lagMs <= MIN_LAG_MS || objectiveMs <= EXEMPT_FACTOR * shortestObjectiveMs) return false;
     const share = Math.min(MAX_REFUSED_SHARE, (lagMs - MIN_LAG_MS) / (MAX_LAG_MS - MIN_LAG_MS));
     return this.random.below(RANDOM_STEPS) < share * RANDOM_STEPS;
   }
-
-  /**
-   * @param objectiveMs - Latency objective of the call's route, in milliseconds.
-   * @param shortestObjectiveMs - Shortest objective of all routes, in milliseconds.
-   * @returns Whether other calls wait for calls of the route, so that these are never refused.
-   */
-  public static isExempt(objectiveMs: number, shortestObjectiveMs: number): boolean {
-    return objectiveMs <= EXEMPT_FACTOR * shortestObjectiveMs;
-  }
 }
