--- a/src/process/Listener.test.ts
+++ b/src/process/Listener.test.ts
@@ -5,8 +5,9 @@
 import Listener from './Listener';
 
 const CALLERS = 200;
+const BACKLOG = 32;
 /** Most connections that may be established while none is accepted: the queue, and some slack. */
-const MAX_WAITING = 80;
+const MAX_WAITING = BACKLOG + 8;
 const BLOCKED_MS = 600;
 
 /** Opens connections from another thread, and counts those that are established. */
@@ -20,8 +21,8 @@
   }
 `;
 
-test('callers are not kept waiting in a long queue that a blocked event loop does not accept', async () => {
-  const listener = new Listener();
+test('while the event loop accepts nothing, only the backlog of connections waits', async () => {
+  const listener = new Listener({ backlog: BACKLOG });
   const address = await listener.listen('127.0.0.1:0' as Address);
   const counter = new SharedArrayBuffer(2 * Int32Array.BYTES_PER_ELEMENT);
   const counts = new Int32Array(counter);
--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -13,12 +13,6 @@
 import type { PipelinePosition } from '../request/Types';
 
 const BAD_REQUEST_STATUS = 400;
-/**
- * Number of connections that may wait to be accepted. The event loop accepts one per turn, so that a
- * longer queue would hold connections until their callers have given up; all that are accepted then are
- * stale.
- */
-const ACCEPT_BACKLOG = 64;
 const METHOD_NOT_ALLOWED_STATUS = 405;
 /** HTTP status of a refusal, by the error code of the HTTP parser; 400 for all other codes. */
 const STATUS_BY_PARSE_ERROR: Readonly<Record<string, number>> = {
@@ -28,6 +22,12 @@
 /** The HTTP parser's error code if the caller closes its side in the middle of a request. */
 const INCOMPLETE_REQUEST_CODE = 'HPE_INVALID_EOF_STATE';
 
+/** Options of a listener: those of the HTTP server, and the length of its accept queue. */
+export interface ListenerOptions extends ServerOptions {
+  /** Number of connections that may wait to be accepted; by default that of Node.js. */
+  readonly backlog?: number;
+}
+
 /** An HTTP server whose request handler can be set after its port is known. */
 export default class Listener implements Disposable {
   public readonly server: Server;
@@ -41,8 +41,11 @@
 
   private connectionCount = 0;
 
-  /** @param options - Size limit of request heads, and timeouts, of the HTTP server. */
-  public constructor(options: ServerOptions = {}) {
+  private readonly backlog: number | undefined;
+
+  /** @param options - Size limit of request heads, timeouts, and length of the accept queue. */
+  public constructor({ backlog, ...options }: ListenerOptions = {}) {
+    this.backlog = backlog;
     this.server = createServer(
       { noDelay: true, requireHostHeader: false, ...options },
       (message, response) => this.dispatch(message, response),
@@ -89,7 +92,7 @@
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
       const port = Number(address.slice(separator + 1));
-      this.server.listen({ host, port, backlog: ACCEPT_BACKLOG }, resolve);
+      this.server.listen({ host, port, backlog: this.backlog }, resolve);
     });
     const { port } = this.server.address() as AddressInfo;
     return `${address.slice(0, separator)}:${port}` as Address;
