Bound the estimated accept delay by the accepts that fit into the queue

Cause: in a queue that never empties the delay counted from when it was last empty, up to 16 s where callers leave after one; each request on a new connection then waited for four turns of the event loop. Change: no connection has waited longer than the last backlog + 2 accepts took. Test: delays of 12 accepts 10 ms apart with a backlog of 4 grew to 110 ms before, now to 60.

--- a/src/process/AcceptDelays.test.ts
+++ b/src/process/AcceptDelays.test.ts
@@ -3,6 +3,7 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import ManualClock from '../../stand-in/ManualClock';
 import SystemClock from '../common/SystemClock';
 import awaitPendingCloses from '../request/awaitPendingCloses';
 import AcceptDelays from './AcceptDelays';
@@ -32,7 +33,7 @@
 
 /** @returns Accept delays, in milliseconds, of connections opened at the same time, in accept order. */
 async function acceptDelaysMs(): Promise<number[]> {
-  const delays = new AcceptDelays(new SystemClock());
+  const delays = new AcceptDelays(new SystemClock(), CONNECTIONS);
   const accepted: Socket[] = [];
   const server = createServer((socket) => {
     delays.recordAccept(socket);
@@ -69,6 +70,19 @@
   assert.ok(delaysMs[CONNECTIONS - 1]! > MIN_LAST_DELAY_MS, String(delaysMs));
 });
 
+test('in a queue that never empties, the delay is bounded by the accepts of as many as fit into it', () => {
+  const backlog = 4;
+  const clock = new ManualClock();
+  const delays = new AcceptDelays(clock, backlog);
+  const delaysMs = Array.from({ length: 12 }, () => {
+    const socket = {} as Socket;
+    delays.recordAccept(socket);
+    clock.advance(10);
+    return delays.takeMaxDelayMs(socket);
+  });
+  assert.equal(delaysMs, [0, 10, 20, 30, 40, 50, 60, 60, 60, 60, 60, 60]);
+});
+
 /**
  * Counts the calls whose callers closed their connections before these were accepted.
  *
@@ -76,7 +90,7 @@
  * @returns How many of the closes are noticed before the request is handled.
  */
 async function closesNoticed(settle: (acceptDelayMs: number) => Promise<void>): Promise<number> {
-  const delays = new AcceptDelays(new SystemClock());
+  const delays = new AcceptDelays(new SystemClock(), CONNECTIONS);
   let handled = 0;
   let noticed = 0;
   const server = createHttpServer((request) => {
--- a/src/process/AcceptDelays.ts
+++ b/src/process/AcceptDelays.ts
@@ -21,15 +21,25 @@
 
   private acceptedCount = 0;
 
-  /** @param clock - Monotonic clock. */
-  public constructor(private readonly clock: Clock) {}
+  /** Monotonic times in ms of the latest accepts, the earliest first; as many as may wait at once. */
+  private readonly latestAccepts: number[] = [];
+
+  /**
+   * @param clock - Monotonic clock.
+   * @param backlog - Number of connections that may wait to be accepted.
+   */
+  public constructor(
+    private readonly clock: Clock,
+    private readonly backlog: number,
+  ) {}
 
   /** @param socket - A connection that was just accepted. */
   public recordAccept(socket: Socket): void {
     this.acceptedCount += 1;
     const now = this.clock.now();
     this.lastEmptyAt ??= now;
-    this.maxDelaysMs.set(socket, now - this.lastEmptyAt);
+    this.maxDelaysMs.set(socket, now - Math.max(this.lastEmptyAt, this.lastFullAt()));
+    this.latestAccepts.push(now);
     const { acceptedCount } = this;
     // A full event loop turn passes between the callbacks; it accepts a connection if one is queued.
     setImmediate(() =>
@@ -39,6 +49,16 @@
     );
   }
 
+  /**
+   * Monotonic time in ms at which the connection that is accepted now was not yet in the queue: since
+   * then, more connections were accepted than fit into it.
+   */
+  private lastFullAt(): number {
+    // The kernel lets one connection more wait than the backlog.
+    if (this.latestAccepts.length <= this.backlog + 1) return -Infinity;
+    return this.latestAccepts.shift()!;
+  }
+
   /**
    * Returns the accept delay of a connection once: later requests on the same connection
    * did not wait to be accepted.
--- a/src/process/listeners.ts
+++ b/src/process/listeners.ts
@@ -15,7 +15,7 @@
  * a busy daemon takes thirty to sixty turns a second. Callers give up after a second or less, so that all
  * connections in a longer queue are stale by the time they are accepted, for as long as the load lasts.
  */
-const CALLER_BACKLOG = 32;
+export const CALLER_BACKLOG = 32;
 
 /** The HTTP servers of a daemon. They are bound before its components, which need the addresses. */
 export interface Listeners {
