--- a/src/request/silentDaemon.test.ts
+++ b/src/request/silentDaemon.test.ts
@@ -102,7 +102,11 @@
     nextAttempt: () => 1,
     onAttempt: () => undefined,
   } as unknown as CallServices;
-  const retryBudget = { deposit: () => undefined, withdraw: () => budget };
+  const retryBudget = {
+    deposit: () => undefined,
+    chargeRepeat: () => undefined,
+    withdraw: () => budget,
+  };
   const times = { deadline: clock.now() + 60_000, objective: clock.now() + 60_000 };
   const call = new Call(
     REQUEST,
