Don't close an upstream's connection that was destroyed

Cause: when an upstream is disposed of with a request under way, the request's end gave its destroyed connection back, whose close was rejected: an unhandled rejection, which ends the daemon. Found by reading. Test: ClientDestroyedError before, none after; the requests under way and waiting fail.

--- a/src/request/UpstreamConnections.test.ts
+++ b/src/request/UpstreamConnections.test.ts
@@ -90,4 +90,45 @@
   );
 });
 
+test('requests in progress and waiting ones fail when the connections are destroyed', async () => {
+  const server = createServer((socket) => socket.on('error', () => undefined));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}` as Address;
+  const rejections: unknown[] = [];
+  const onRejection = (reason: unknown) => rejections.push(reason);
+  process.on('unhandledRejection', onRejection);
+  const connections = new UpstreamConnections(address, {
+    connections: 1,
+    connectMs: TIMEOUT_MS,
+    keepAliveMs: TIMEOUT_MS,
+    idHeader: DEFAULT_HEADER_NAMES.requestId,
+  });
+  const results = ['/running', '/waiting'].map((path) =>
+    exchange({
+      connections,
+      matcher: new AnswerMatcher(DEFAULT_HEADER_NAMES),
+      origin: `http://${address}`,
+      request: { method: 'GET', path, requestId: undefined, headers: [], body: null },
+      headers: ['host', 'x'],
+      headTimeoutMs: TIMEOUT_MS,
+      bodyTimeoutMs: TIMEOUT_MS,
+      signal: new CancelController(),
+    }).then(
+      () => 'answered',
+      (error: Error) => error.name,
+    ),
+  );
+  await new Promise((resolve) => {
+    server.once('connection', resolve);
+  });
+  connections.destroy();
+  assert.equal(await Promise.all(results), ['ExchangeError', 'ExchangeError']);
+  for (let turn = 0; turn < 5; turn += 1) await new Promise(setImmediate);
+  process.off('unhandledRejection', onRejection);
+  server.close();
+  assert.equal(rejections, []);
+});
+
 test.run();
--- a/src/request/UpstreamConnections.ts
+++ b/src/request/UpstreamConnections.ts
@@ -83,7 +83,7 @@
   private remove(connection: UpstreamConnection): void {
     const index = this.connections.indexOf(connection);
     if (index >= 0) this.connections.splice(index, 1);
-    void connection.client.close();
+    if (!connection.client.destroyed) void connection.client.close();
   }
 
   private static start(connection: UpstreamConnection, { id, start }: Waiter): void {
