--- a/stand-in/ScriptedUpstream.ts
+++ b/stand-in/ScriptedUpstream.ts
@@ -50,6 +50,8 @@
   private serve(socket: Socket): void {
     const sent: string[] = [];
     let received = '';
+    // The bytes of a response don't mix with those of the next one on the connection.
+    let earlier = Promise.resolve();
     socket.setNoDelay();
     this.sockets.add(socket);
     socket.on('error', () => undefined);
@@ -63,7 +65,7 @@
         if (length === undefined) return;
         const request = received.slice(0, length);
         received = received.slice(length);
-        void this.run(socket, request, sent);
+        earlier = earlier.then(() => this.run(socket, request, sent));
       }
     });
   }
