--- a/test/pausedDaemon.test.ts
+++ b/test/pausedDaemon.test.ts
@@ -50,7 +50,10 @@
     });
     // The call that holds the only slot ends while the daemon is paused.
     const holder = charge(entry!, 'holder', 400, 10_000);
-    await eventually('the slot is taken', async () => (await fetchLedger(upstream.ready.port)).length === 1);
+    await eventually(
+      'the slot is taken',
+      async () => (await fetchLedger(upstream.ready.port)).length === 1,
+    );
     const waiting = Array.from({ length: WAITING_CALLS }, (_, index) =>
       charge(index % 2 ? entry! : paused!, `waiting-${index}`, 0, ALLOWED_MS),
     );
