End a request on its connection by a method instead of assigning its state

The pool set the flag by Object.assign, around the linter; begin has its counterpart now. A comment in scripts/undiciCore.cjs stood at the wrong line. Behaviour as before: 16 of 16 tests of the upstream's connections.

--- a/scripts/undiciCore.cjs
+++ b/scripts/undiciCore.cjs
@@ -12,8 +12,10 @@
 
 Object.assign(Dispatcher.prototype, api);
 
-/** Sends a request as undici's `request` does; one without a dispatcher uses a shared one. */
+/** Dispatcher of requests that name none. */
 let sharedAgent;
+
+/** Sends a request as undici's `request` does. */
 function request(url, { dispatcher, ...options } = {}) {
   const { origin, pathname, search } = new URL(url);
   sharedAgent ??= dispatcher ? undefined : new Agent();
--- a/src/request/UpstreamConnection.ts
+++ b/src/request/UpstreamConnection.ts
@@ -37,9 +37,6 @@
   /** HTTP client that sends the requests. */
   public readonly client: Client;
 
-  /** Whether a request is in progress. */
-  public isBusy = false;
-
   /** Id of the latest request on this connection that was refused. */
   public refusedId: RequestId | undefined;
 
@@ -51,6 +48,8 @@
 
   private awaitedId: RequestId | undefined;
 
+  private busy = false;
+
   private retired = false;
 
   private wasReset = false;
@@ -84,11 +83,21 @@
 
   /** @param id - Id of the request that is sent next; `undefined` if it has none. */
   public begin(id: RequestId | undefined): void {
-    this.isBusy = true;
+    this.busy = true;
     this.awaitedId = id;
     this.filter?.awaitAnswer(id);
   }
 
+  /** Must be called when the request has ended. */
+  public end(): void {
+    this.busy = false;
+  }
+
+  /** Whether a request is in progress. */
+  public get isBusy(): boolean {
+    return this.busy;
+  }
+
   /** Whether the connection must carry no further request. */
   public get isRetired(): boolean {
     return this.retired;
--- a/src/request/UpstreamConnections.ts
+++ b/src/request/UpstreamConnections.ts
@@ -49,7 +49,7 @@
 
   /** @param connection - Connection whose request has ended. */
   public release(connection: UpstreamConnection): void {
-    Object.assign(connection, { isBusy: false });
+    connection.end();
     const isUnneeded = this.isClosing && this.waiters.length === 0;
     if (connection.isRetired || isUnneeded) this.remove(connection);
     const waiter = this.waiters.shift();
