Log each version that is refused or comes from a peer, and put the daemon's metrics first

Cause: the logs of an incident couldn't tell a version that is refused from one that spreads slowly. A daemon that refused a peer's version wrote nothing; one that took it from a peer neither. No metric counted refusals or said how far a daemon is behind, and the collector, which keeps the first 4 KB of a scrape, got none of the daemon's own metrics, as those of the metrics library came before them.

No decision changes.

Result: PeerHeadTracker.test pins the lines.

--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -100,7 +100,7 @@
   ]);
   const watcher = new ConfigurationWatcher(
     store,
-    new PeerHeadTracker(versions, clock),
+    new PeerHeadTracker(versions, clock, { log: () => undefined }),
     members,
     { readersPerZone: 1, readerZones: 1, staleMs: 60_000 },
     clock,
--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -173,21 +173,11 @@
     try {
       this.heads.applyLogHead(head, through, true);
     } catch (error) {
+      // The tracker has logged the refusal; the version before stays in force.
       if (!(error instanceof InvalidHeadError)) throw error;
-      this.logger.log('A configuration from the store failed validation.', {
-        version: error.version,
-        reason: error.message,
-      });
       return false;
     }
-    if (!head || before === this.heads.knowledge.version) return false;
-    this.logger.log('A version came into force.', {
-      version: head.version,
-      before,
-      through,
-      source: 'store',
-    });
-    return true;
+    return before !== this.heads.knowledge.version;
   }
 
   private buildHead({ version, folder: published }: PublishedConfiguration): Head {
--- /dev/null
+++ b/src/connection/PeerHeadTracker.test.ts
@@ -0,0 +1,89 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import ManualClock from '../../stand-in/ManualClock';
+import type { DaemonId, Digest, FileName, Offset, VersionNumber } from '../common/Types';
+import { SCHEMA_NUMBER } from '../version/configurationSchema';
+import { folderDigest } from '../version/folder';
+import InvalidHeadError from '../version/InvalidHeadError';
+import { mergeFolder } from '../version/mergeFolder';
+import type { Head } from '../version/Types';
+import VersionStore from '../version/VersionStore';
+import PeerHeadTracker from './PeerHeadTracker';
+import type { DeltaMessage, Heartbeat } from './Types';
+
+const PEER = 'coq-2' as DaemonId;
+
+function head(version: number, slots: number): Head {
+  const folder = [
+    { name: '10.toml' as FileName, content: `[service.stock]\nslots = ${slots}\n` },
+    { name: '20.toml' as FileName, content: `[service.desk]\nslots = 4\n` },
+  ];
+  return {
+    schema: SCHEMA_NUMBER,
+    version: version as VersionNumber,
+    publicationId: `store-${version}` as Head['publicationId'],
+    digest: folderDigest(folder),
+    folder,
+  };
+}
+
+/** Message with a whole version, as a peer sends it. */
+function message(version: number, slots: number, digest?: string): DeltaMessage {
+  const { folder, ...fields } = head(version, slots);
+  return {
+    delta: { ...fields, digest: (digest ?? fields.digest) as Digest, base: null, changes: folder },
+    through: version as Offset,
+  };
+}
+
+function heartbeat(version: number): Heartbeat {
+  return {
+    from: PEER,
+    incarnation: 1 as Heartbeat['incarnation'],
+    version: version as VersionNumber,
+    through: version as Offset,
+    ageMs: null,
+    members: '',
+  };
+}
+
+/** A tracker whose clock the test advances, and the lines that it logs. */
+function createTracker() {
+  const clock = new ManualClock();
+  const lines: string[] = [];
+  const tracker = new PeerHeadTracker(new VersionStore(mergeFolder), clock, {
+    log: (text, fields) => lines.push(`${text} ${JSON.stringify(fields)}`),
+  });
+  return { clock, lines, tracker };
+}
+
+test('each version that comes into force or is refused is logged, whichever way it came', () => {
+  const { clock, lines, tracker } = createTracker();
+  tracker.applyLogHead(head(3, 1), 4 as Offset, true);
+  clock.advance(1_000);
+  tracker.observeHeartbeat(heartbeat(5));
+  clock.advance(250);
+  tracker.applyPeerDelta(message(5, 2), PEER);
+  tracker.applyPeerDelta(message(7, 2, '0'.repeat(64)), undefined);
+  assert.throws(
+    () => tracker.applyLogHead(head(9, -1), 10 as Offset, true),
+    (error: Error) => error instanceof InvalidHeadError,
+  );
+  clock.advance(400);
+  assert.equal(
+    [tracker.knowledge.version, tracker.newestVersionHeard, tracker.behindMs, tracker.refusedCount],
+    [5, 9, 400, 2],
+  );
+  tracker.applyLogHead(head(11, 3), 12 as Offset, true);
+  assert.equal([tracker.refusedHead, tracker.behindMs], [undefined, 0]);
+  assert.snapshot(
+    lines.join('\n'),
+    `A version came into force. {"version":3,"before":null,"through":4,"source":"store","files":2,"behindMs":0,"tookMs":0}
+A version came into force. {"version":5,"before":3,"through":5,"source":"coq-2","files":2,"behindMs":250,"tookMs":0}
+A version was refused. {"version":7,"before":5,"source":"a peer","reason":"version 7 can't be put in force: its digest differs"}
+A version was refused. {"version":9,"before":5,"source":"store","reason":"version 9 can't be put in force: 10.toml:2: service.stock.slots: found -1, expected a whole number from 1 to 10000"}
+A version came into force. {"version":11,"before":5,"through":12,"source":"store","files":2,"behindMs":400,"tookMs":0}`,
+  );
+});
+
+test.run();
--- a/src/connection/PeerHeadTracker.ts
+++ b/src/connection/PeerHeadTracker.ts
@@ -1,5 +1,5 @@
 import Emitter from '../common/Emitter';
-import type { Clock, Disposable, Offset, VersionNumber } from '../common/Types';
+import type { Clock, DaemonId, Disposable, Logger, Offset, VersionNumber } from '../common/Types';
 import { applyChanges } from '../version/folder';
 import InvalidHeadError from '../version/InvalidHeadError';
 import type { CurrentVersion, Folder, Head } from '../version/Types';
@@ -16,6 +16,13 @@
 
   private rejectedHead: InvalidHeadError | undefined;
 
+  private refusals = 0;
+
+  private newestHeard: VersionNumber | undefined;
+
+  /** Monotonic time in ms at which a version newer than the one in force was first heard of. */
+  private behindSince: number | undefined;
+
   private readonly advanceEmitter = new Emitter<Knowledge>();
 
   public readonly onAdvance = this.advanceEmitter.event;
@@ -23,10 +30,12 @@
   /**
    * @param versions - Holds the version in force and validates newer ones.
    * @param clock - Monotonic clock.
+   * @param logger - Logs each version that comes into force or is refused.
    */
   public constructor(
     private readonly versions: CurrentVersion,
     private readonly clock: Clock,
+    private readonly logger: Logger,
   ) {}
 
   public get knowledge(): Knowledge {
@@ -34,11 +43,27 @@
   }
 
   /**
-   * Validation error of the last configuration version from a peer that this daemon could not put in
-   * force.
+   * Validation error of the last configuration version that this daemon could not put in force, while
+   * no newer one is in force.
    */
   public get refusedHead(): InvalidHeadError | undefined {
-    return this.rejectedHead;
+    const { rejectedHead } = this;
+    return rejectedHead && rejectedHead.version > (this.version ?? -1) ? rejectedHead : undefined;
+  }
+
+  /** Number of versions that this daemon received and could not put in force. */
+  public get refusedCount(): number {
+    return this.refusals;
+  }
+
+  /** Newest version that the store or a peer is known to have; `undefined` if none. */
+  public get newestVersionHeard(): VersionNumber | undefined {
+    return this.newestHeard;
+  }
+
+  /** Time in ms since a version newer than the one in force was first heard of; 0 if there is none. */
+  public get behindMs(): number {
+    return this.behindSince === undefined ? 0 : this.clock.now() - this.behindSince;
   }
 
   public get head(): Head | undefined {
@@ -51,6 +76,7 @@
   }
 
   public observeHeartbeat(heartbeat: Heartbeat): void {
+    if (heartbeat.version !== null) this.hear(heartbeat.version);
     if (heartbeat.version !== this.version) return;
     if (heartbeat.through > this.through) this.through = heartbeat.through;
     if (heartbeat.ageMs === null) return;
@@ -58,23 +84,22 @@
   }
 
   public applyLogHead(head: Head | undefined, through: Offset, confirmed: boolean): void {
-    const advanced = head !== undefined && this.versions.activate(head);
+    const advanced = head !== undefined && this.activate(head, 'store', through);
     if (through > this.through) this.through = through;
     if (confirmed) this.confirm(this.clock.now());
     if (advanced) this.advanceEmitter.fire(this.knowledge);
   }
 
-  public applyPeerDelta({ delta, through }: DeltaMessage): boolean {
+  public applyPeerDelta({ delta, through }: DeltaMessage, peer: DaemonId | undefined): boolean {
     const base = this.baseFolder(delta.base);
     if (!base) return false;
     const { schema, version, publicationId, digest } = delta;
     const folder = applyChanges(base, delta.changes);
     try {
-      const advanced = this.versions.activate({ schema, version, publicationId, digest, folder });
-      if (!advanced) return this.version === version;
+      const head = { schema, version, publicationId, digest, folder };
+      if (!this.activate(head, peer ?? 'a peer', through)) return this.version === version;
     } catch (error) {
       if (!(error instanceof InvalidHeadError)) throw error;
-      this.rejectedHead = error;
       return false;
     }
     if (through > this.through) this.through = through;
@@ -91,6 +116,45 @@
     this.advanceEmitter.dispose();
   }
 
+  /**
+   * Puts a version in force unless it is no newer than the current one, and logs the result.
+   *
+   * @throws InvalidHeadError - The version is invalid.
+   */
+  private activate(head: Head, source: string, through: Offset): boolean {
+    const before = this.version;
+    const { version } = head;
+    this.hear(version);
+    const startedAt = this.clock.now();
+    try {
+      if (!this.versions.activate(head)) return false;
+    } catch (error) {
+      if (!(error instanceof InvalidHeadError)) throw error;
+      this.refusals += 1;
+      this.rejectedHead = error;
+      this.logger.log('A version was refused.', { version, before, source, reason: error.message });
+      throw error;
+    }
+    const behindMs = Math.round(this.behindMs);
+    if (version >= (this.newestHeard ?? version)) this.behindSince = undefined;
+    this.logger.log('A version came into force.', {
+      version,
+      before,
+      through,
+      source,
+      files: head.folder.length,
+      behindMs,
+      tookMs: Math.round(this.clock.now() - startedAt),
+    });
+    return true;
+  }
+
+  private hear(version: VersionNumber): void {
+    if (version <= (this.newestHeard ?? -1)) return;
+    this.newestHeard = version;
+    if (version > (this.version ?? -1)) this.behindSince ??= this.clock.now();
+  }
+
   private get version(): VersionNumber | null {
     return this.head?.version ?? null;
   }
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -157,9 +157,9 @@
       const requestChanges = (base: Heartbeat['version']) =>
         awaitResponse(ended, (signal) => client.changes.query({ base }, { signal }));
       const message = await requestChanges(version);
-      if (message && !heads.applyPeerDelta(message)) {
+      if (message && !heads.applyPeerDelta(message, this.peer.id)) {
         const whole = await requestChanges(null);
-        if (whole) heads.applyPeerDelta(whole);
+        if (whole) heads.applyPeerDelta(whole, this.peer.id);
       }
       fetchLease.release();
     }
@@ -170,8 +170,11 @@
     { client, ended }: PeerConnection,
     base: Heartbeat['version'],
   ): Promise<void> {
-    const message = this.services.heads.changesSince(base);
-    if (message) await awaitResponse(ended, (signal) => client.deliver.mutate(message, { signal }));
+    const { heads, members } = this.services;
+    const changes = heads.changesSince(base);
+    if (!changes) return;
+    const message = { ...changes, from: members.self.id };
+    await awaitResponse(ended, (signal) => client.deliver.mutate(message, { signal }));
   }
 
   /** Anti-entropy: exchanges the member records in which both tables differ. */
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -249,6 +249,8 @@
 export interface DeltaMessage {
   readonly delta: Delta;
   readonly through: Offset;
+  /** Daemon that pushes the changes; older releases leave it out. */
+  readonly from?: DaemonId | undefined;
 }
 
 /** Configuration version that this daemon has, and when it was last confirmed to be the newest. */
@@ -303,9 +305,10 @@
   applyLogHead(head: Head | undefined, through: Offset, confirmed: boolean): void;
   /**
    * @param message - Changes from a peer.
+   * @param peer - The peer, for the log; `undefined` if it isn't known.
    * @returns Whether this daemon now has the version that results from the changes.
    */
-  applyPeerDelta(message: DeltaMessage): boolean;
+  applyPeerDelta(message: DeltaMessage, peer: DaemonId | undefined): boolean;
   /** @param base - Configuration version that the peer has; null if it has none. */
   changesSince(base: VersionNumber | null): DeltaMessage | undefined;
   /** @returns Whether the sender of this heartbeat has a newer version than this daemon. */
--- a/src/connection/messageSchema.ts
+++ b/src/connection/messageSchema.ts
@@ -77,6 +77,7 @@
 export const deltaMessageSchema: z.ZodType<DeltaMessage> = z.object({
   delta: deltaSchema,
   through: countSchema<Offset>(),
+  from: daemonId.optional(),
 });
 
 /** Schema of a fence request: an attempt id and the incarnation of the daemon it was sent to. */
--- a/src/connection/peerRouter.ts
+++ b/src/connection/peerRouter.ts
@@ -82,7 +82,7 @@
     /** Receives the configuration changes that the reply to a heartbeat requested. */
     deliver: trpc.procedure.input(deltaMessageSchema).mutation(({ input }): boolean => {
       fetchLease.release();
-      return heads.applyPeerDelta(input);
+      return heads.applyPeerDelta(input, input.from);
     }),
 
     /** Streams member changes and new versions to the peer that opened the connection. */
--- a/src/process/DaemonMetrics.ts
+++ b/src/process/DaemonMetrics.ts
@@ -21,6 +21,9 @@
 export interface Gauges {
   readonly version: () => number;
   readonly knowledgeAgeSeconds: () => number;
+  readonly newestVersionHeard: () => number;
+  readonly versionBehindSeconds: () => number;
+  readonly versionsRefused: () => number;
   readonly members: () => number;
   readonly suspects: () => number;
   readonly links: () => number;
@@ -41,6 +44,15 @@
     'knowledge_age_seconds',
     'Time since the head was last confirmed; -1 where never.',
   ],
+  newestVersionHeard: [
+    'version_newest_heard',
+    'Newest version that the log or a peer is known to have; -1 where none.',
+  ],
+  versionBehindSeconds: [
+    'version_behind_seconds',
+    'Time since a version newer than the one in force was first heard of.',
+  ],
+  versionsRefused: ['versions_refused', 'Versions that were received and refused as invalid.'],
   members: ['members', 'Live daemons known.'],
   suspects: ['members_suspect', 'Live daemons that were lost from sight.'],
   links: ['links_up', 'Links to peers that answer.'],
@@ -70,14 +82,8 @@
   /** @param gauges - Functions that return the gauges' current values; called for each scrape. */
   public constructor(gauges: Gauges) {
     const { registry } = this;
-    collectDefaultMetrics({
-      register: registry,
-      prefix: 'azurestream_',
-      eventLoopMonitoringPrecision: LIBRARY_LAG_INTERVAL_MS,
-    });
-    for (const { name } of registry.getMetricsAsArray()) {
-      if (name.includes(LIBRARY_LAG_METRIC)) registry.removeSingleMetric(name);
-    }
+    // The daemon's own metrics come first, as some collectors keep only the start of a scrape.
+    for (const key of Object.keys(SPECS) as (keyof Gauges)[]) this.gauge(SPECS[key], gauges[key]);
     this.calls = new Counter({
       name: 'azurestream_calls_total',
       help: 'Calls by outcome.',
@@ -96,7 +102,14 @@
       buckets: CALL_BUCKETS_SECONDS,
       registers: [registry],
     });
-    for (const key of Object.keys(SPECS) as (keyof Gauges)[]) this.gauge(SPECS[key], gauges[key]);
+    collectDefaultMetrics({
+      register: registry,
+      prefix: 'azurestream_',
+      eventLoopMonitoringPrecision: LIBRARY_LAG_INTERVAL_MS,
+    });
+    for (const { name } of registry.getMetricsAsArray()) {
+      if (name.includes(LIBRARY_LAG_METRIC)) registry.removeSingleMetric(name);
+    }
   }
 
   /**
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -231,9 +231,9 @@
 
 /** Creates the store of the configuration in force and the components that keep it current. */
 function wireConfiguration(core: Core, members: MemberTable) {
-  const { settings, resources, clock } = core;
+  const { settings, resources, clock, logger } = core;
   const versions = resources.add(new VersionStore(mergeFolder));
-  const heads = resources.add(new PeerHeadTracker(versions, clock));
+  const heads = resources.add(new PeerHeadTracker(versions, clock, logger('configuration')));
   const wireSource = settings.log.kind === 'platform' ? wirePlatform : wireStreams;
   return { versions, heads, source: wireSource(core, members, heads) };
 }
@@ -341,6 +341,9 @@
       const { confirmedAt } = heads.knowledge;
       return confirmedAt === undefined ? -1 : (clock.now() - confirmedAt) / MS_PER_SECOND;
     },
+    newestVersionHeard: () => heads.newestVersionHeard ?? -1,
+    versionBehindSeconds: () => heads.behindMs / MS_PER_SECOND,
+    versionsRefused: () => heads.refusedCount,
     members: () => members.live().length,
     suspects: () => members.live().filter(({ health }) => health === 'suspect').length,
     links: () => overlay.state.filter(({ up }) => up).length,
