--- a/stand-in/Fleet.ts
+++ b/stand-in/Fleet.ts
@@ -79,6 +79,11 @@
     return started;
   }
 
+  /** @param port - Port of a log or store that the daemons use instead of one of this fleet. */
+  public useLog(port: number): void {
+    this.logReadyLine = { port };
+  }
+
   /**
    * Makes the log stand-in simulate faults.
    *
