Limit the size of a folder where it is published, not where it is received

What callers saw: calls handled by a version that was replaced seconds before, 404 for routes that had been acknowledged (CONFIG).

Cause: MAX_FOLDER_BYTES states what fits one record of the operators' log, but mergeFolder applied it to every folder, also to what the platform's store had accepted, on its readers and on every peer. A version of 3,200 routes was refused by all daemons, and each one after it, as each holds the whole. The class: a limit of the writer's side that is checked by the reader, after the operator was told that it holds.

Change: the limit is checked by mergePublication, for 'check', 'publish' and the replay of the log's publications, all of which tell the operator. What comes into force is merged without.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -21,7 +21,7 @@
 import SocketMeter from '../src/connection/SocketMeter';
 import type { MemberRecord } from '../src/connection/Types';
 import type { DaemonDump } from '../src/process/Types';
-import { mergeFolder } from '../src/version/mergeFolder';
+import mergeFolder from '../src/version/mergeFolder';
 import type { Folder } from '../src/version/Types';
 import Fleet, { eventually, type DaemonReady, type FleetProcess } from '../stand-in/Fleet';
 
--- a/src/command/Publisher.ts
+++ b/src/command/Publisher.ts
@@ -8,7 +8,7 @@
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
 import { folderChanges, folderDigest } from '../version/folder';
 import ConfigurationReplay from '../version/ConfigurationReplay';
-import { mergeFolder } from '../version/mergeFolder';
+import mergePublication from '../version/mergePublication';
 import { encodeRecord } from '../version/recordSchema';
 import type { Folder, Head, Publication, RecordOutcome } from '../version/Types';
 import CommandError from './CommandError';
@@ -57,7 +57,7 @@
    */
   public async readHead(): Promise<Head | undefined> {
     const { earliest, next } = await this.log.bounds('configuration');
-    if (!this.replay) this.replay = new ConfigurationReplay(mergeFolder, earliest);
+    if (!this.replay) this.replay = new ConfigurationReplay(mergePublication, earliest);
     const { replay } = this;
     while (replay.nextOffset < next) await this.readBatch(0);
     if (!replay.isComplete) await this.restoreFromDaemon(replay);
--- a/src/command/folderFiles.ts
+++ b/src/command/folderFiles.ts
@@ -8,7 +8,7 @@
 import type { FileName, VersionNumber } from '../common/Types';
 import { formatIssue } from '../version/validationIssues';
 import { folderChanges, sortedFolder } from '../version/folder';
-import { mergeFolder } from '../version/mergeFolder';
+import mergePublication from '../version/mergePublication';
 import type { Configuration, Folder } from '../version/Types';
 import CommandError from './CommandError';
 
@@ -42,14 +42,14 @@
 }
 
 /**
- * Merges and validates a folder.
+ * Merges and validates a folder to be published.
  *
  * @param folder - Files in name order.
  * @returns The merged configuration.
  * @throws CommandError - The folder is invalid; the message has one line for each issue.
  */
 export function mergeOrThrow(folder: Folder): Configuration {
-  const result = mergeFolder(folder);
+  const result = mergePublication(folder);
   if (result.kind === 'valid') return result.configuration;
   throw new CommandError(result.issues.map(formatIssue).join('\n'));
 }
--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -12,7 +12,7 @@
   VersionNumber,
   ZoneName,
 } from '../common/Types';
-import { mergeFolder } from '../version/mergeFolder';
+import mergeFolder from '../version/mergeFolder';
 import VersionStore from '../version/VersionStore';
 import ConfigurationWatcher from './ConfigurationWatcher';
 import LogExpiredError from './LogExpiredError';
--- a/src/connection/PeerHeadTracker.test.ts
+++ b/src/connection/PeerHeadTracker.test.ts
@@ -5,7 +5,7 @@
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
 import { folderDigest } from '../version/folder';
 import InvalidHeadError from '../version/InvalidHeadError';
-import { mergeFolder } from '../version/mergeFolder';
+import mergeFolder from '../version/mergeFolder';
 import type { Head } from '../version/Types';
 import VersionStore from '../version/VersionStore';
 import PeerHeadTracker from './PeerHeadTracker';
--- a/src/process/UpstreamRegistration.test.ts
+++ b/src/process/UpstreamRegistration.test.ts
@@ -16,7 +16,7 @@
 import DEFAULT_HEADER_NAMES from '../request/defaultHeaderNames';
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
 import { folderDigest } from '../version/folder';
-import { mergeFolder } from '../version/mergeFolder';
+import mergeFolder from '../version/mergeFolder';
 import type { Head } from '../version/Types';
 import VersionStore from '../version/VersionStore';
 import type { Announcement } from './Types';
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -41,7 +41,8 @@
 import PeerTransport from '../request/PeerTransport';
 import RetryAdvice from '../request/RetryAdvice';
 import RoutingTransport from '../request/RoutingTransport';
-import { mergeFolder } from '../version/mergeFolder';
+import mergeFolder from '../version/mergeFolder';
+import mergePublication from '../version/mergePublication';
 import VersionStore from '../version/VersionStore';
 import AcceptDelays from './AcceptDelays';
 import Daemon, { type DaemonAddresses, type Task } from './Daemon';
@@ -163,7 +164,16 @@
   const log = resources.add(new HttpLog(address, prefix, meter));
   const readerOptions = { readersPerZone: readers, staleMs: stale };
   const logReader = resources.add(
-    new LogTailer(log, heads, members, mergeFolder, readerOptions, clock, random, logger('log')),
+    new LogTailer(
+      log,
+      heads,
+      members,
+      mergePublication,
+      readerOptions,
+      clock,
+      random,
+      logger('log'),
+    ),
   );
   const intervalMs = retention / CHECKPOINTS_PER_RETENTION;
   const checkpointSchedule = {
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -29,9 +29,6 @@
   WeightedService,
 } from './Types';
 
-/** Maximum total size of a folder's files; a checkpoint of the folder must fit one log record. */
-export const MAX_FOLDER_BYTES = 512 * 1024;
-
 /** A merged entry: its value, the file that set it, and the earlier files that it overrides. */
 interface MergedEntry {
   readonly value: unknown;
@@ -301,20 +298,6 @@
   );
 }
 
-function sizeIssues(folder: Folder): ValidationIssue[] {
-  const bytes = folder.reduce((sum, { content }) => sum + Buffer.byteLength(content), 0);
-  if (bytes <= MAX_FOLDER_BYTES) return [];
-  return [
-    {
-      file: undefined,
-      line: undefined,
-      key: undefined,
-      found: `a folder of ${bytes} bytes`,
-      expected: `at most ${MAX_FOLDER_BYTES} bytes, so that it fits one record of the log`,
-    },
-  ];
-}
-
 /**
  * Merges the files of a folder in name order and validates the result. A later file replaces a
  * whole service, a whole route, the whole `[limits]` table or a single key of `[defaults]`. The
@@ -323,17 +306,14 @@
  * @param folder - Files in name order.
  * @returns The merged configuration, or all validation issues.
  */
-export function mergeFolder(folder: Folder): MergeResult {
+export default function mergeFolder(folder: Folder): MergeResult {
   const sections: Sections = {
     service: new Map(),
     route: new Map(),
     defaults: new Map(),
     limits: new Map(),
   };
-  const issues = [
-    ...sizeIssues(folder),
-    ...folder.flatMap((file) => collectEntries(file, sections)),
-  ];
+  const issues = folder.flatMap((file) => collectEntries(file, sections));
   const defaults = parseDefaults(sections.defaults, issues);
   const limits = parseLimits(sections.limits, issues);
   const parsedServices = parseEntries('service', sections.service, serviceSchema, issues);
