Time a read of the store by its progress instead of its whole length

Cause: a read of the whole configuration had one second from its start to its last byte. Base64 makes 770 KB of 3,200 routes, 1.2 s on a link of 5 Mbit/s: no such read could end in time, on any try. Each of the five added daemons logged 'Lost the store.' 1.7 to 1.8 s after its start, with no other fault there. The class: a time-out for a whole that grows with what the operator writes.

A connection that goes silent still ends after the same time.

--- a/src/connection/withStallAwareTimeout.test.ts
+++ b/src/connection/withStallAwareTimeout.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import sleep from '../common/sleep';
 import waitEventLoopTurns from '../common/waitEventLoopTurns';
 import type { Address, DaemonId } from '../common/Types';
 import withStallAwareTimeout from './withStallAwareTimeout';
@@ -65,4 +66,26 @@
   assert.is(await wait(2 ** 30, ended), 'given up');
 });
 
+test('a request whose response goes on arriving does not time out; one that stalls does', async () => {
+  const parts = async (count: number, signal: AbortSignal, onProgress: () => void) => {
+    for (let part = 0; part < count; part += 1) {
+      await sleep(TIMEOUT_MS / 4, signal);
+      onProgress();
+    }
+    return signal.aborted ? 'cut' : 'whole';
+  };
+  assert.is(
+    await withStallAwareTimeout([], TIMEOUT_MS, (signal, onProgress) =>
+      parts(10, signal, onProgress),
+    ),
+    'whole',
+  );
+  const stalled = await withStallAwareTimeout([], TIMEOUT_MS, async (signal, onProgress) => {
+    await parts(2, signal, onProgress);
+    await once(signal, 'abort');
+    return 'aborted';
+  });
+  assert.is(stalled, 'aborted');
+});
+
 test.run();
--- a/src/connection/withStallAwareTimeout.ts
+++ b/src/connection/withStallAwareTimeout.ts
@@ -7,31 +7,53 @@
 /** Number of event loop turns after the timeout in which arrived data is still read. */
 const FINAL_LOOP_TURNS = 4;
 
-/** Sleeps for a time that excludes stalls of this process, or until the signal is aborted. */
-async function sleepRunningTime(ms: number, signal: AbortSignal): Promise<void> {
-  for (let part = 0; part < SLEEPS && !signal.aborted; part += 1) await sleep(ms / SLEEPS, signal);
-  if (!signal.aborted) await waitEventLoopTurns(FINAL_LOOP_TURNS);
+/** Counts the sleeps since a request was sent or its response last made progress. */
+class IdleSleeps {
+  private count = 0;
+
+  /** Starts the timeout anew. */
+  public restart(): void {
+    this.count = 0;
+  }
+
+  /**
+   * Sleeps until there was no progress for a time that excludes stalls of this process, or until the
+   * signal is aborted.
+   */
+  public async sleep(ms: number, signal: AbortSignal): Promise<void> {
+    do {
+      while (this.count < SLEEPS && !signal.aborted) {
+        this.count += 1;
+        await sleep(ms / SLEEPS, signal);
+      }
+      if (!signal.aborted) await waitEventLoopTurns(FINAL_LOOP_TURNS);
+    } while (this.count < SLEEPS && !signal.aborted);
+  }
 }
 
 /**
- * Runs a request to a peer with a timeout that excludes stalls of this process: after a stall, the
- * peer's response may have arrived without having been read.
+ * Runs a request with a timeout that excludes stalls of this process: after a stall, the response may
+ * have arrived without having been read.
  *
  * @param parents - Signals that cancel the request.
  * @param timeoutMs - Timeout in milliseconds, excluding stalls.
- * @param sendRequest - Sends the request; must reject when its signal is aborted.
+ * @param sendRequest - Sends the request; must reject when its signal is aborted. Each call of its second
+ * argument, for a part of the response, starts the timeout anew.
  * @returns The response.
  */
 export default async function withStallAwareTimeout<Result>(
   parents: readonly AbortSignal[],
   timeoutMs: number,
-  sendRequest: (signal: AbortSignal) => Promise<Result>,
+  sendRequest: (signal: AbortSignal, onProgress: () => void) => Promise<Result>,
 ): Promise<Result> {
   const timeout = new AbortController();
   const finished = new AbortController();
-  void sleepRunningTime(timeoutMs, finished.signal).then(() => timeout.abort());
+  const idle = new IdleSleeps();
+  void idle.sleep(timeoutMs, finished.signal).then(() => timeout.abort());
   try {
-    return await withLinkedSignal([...parents, timeout.signal], undefined, sendRequest);
+    return await withLinkedSignal([...parents, timeout.signal], undefined, (signal) =>
+      sendRequest(signal, () => idle.restart()),
+    );
   } finally {
     finished.abort();
   }
