--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -12,7 +12,7 @@
   VersionNumber,
   ZoneName,
 } from '../common/Types';
-import { mergeFolder } from '../version/mergeFolder';
+import mergeFolder from '../version/mergeFolder';
 import VersionStore from '../version/VersionStore';
 import ConfigurationWatcher from './ConfigurationWatcher';
 import LogExpiredError from './LogExpiredError';
@@ -100,7 +100,7 @@
   ]);
   const watcher = new ConfigurationWatcher(
     store,
-    new PeerHeadTracker(versions, clock),
+    new PeerHeadTracker(versions, clock, { log: () => undefined }),
     members,
     { readersPerZone: 1, readerZones: 1, staleMs: 60_000 },
     clock,
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -41,7 +41,8 @@
 import PeerTransport from '../request/PeerTransport';
 import RetryAdvice from '../request/RetryAdvice';
 import RoutingTransport from '../request/RoutingTransport';
-import { mergeFolder } from '../version/mergeFolder';
+import mergeFolder from '../version/mergeFolder';
+import mergePublication from '../version/mergePublication';
 import VersionStore from '../version/VersionStore';
 import AcceptDelays from './AcceptDelays';
 import Daemon, { type DaemonAddresses, type Task } from './Daemon';
@@ -163,7 +164,16 @@
   const log = resources.add(new HttpLog(address, prefix, meter));
   const readerOptions = { readersPerZone: readers, staleMs: stale };
   const logReader = resources.add(
-    new LogTailer(log, heads, members, mergeFolder, readerOptions, clock, random, logger('log')),
+    new LogTailer(
+      log,
+      heads,
+      members,
+      mergePublication,
+      readerOptions,
+      clock,
+      random,
+      logger('log'),
+    ),
   );
   const intervalMs = retention / CHECKPOINTS_PER_RETENTION;
   const checkpointSchedule = {
@@ -231,9 +241,9 @@
 
 /** Creates the store of the configuration in force and the components that keep it current. */
 function wireConfiguration(core: Core, members: MemberTable) {
-  const { settings, resources, clock } = core;
+  const { settings, resources, clock, logger } = core;
   const versions = resources.add(new VersionStore(mergeFolder));
-  const heads = resources.add(new PeerHeadTracker(versions, clock));
+  const heads = resources.add(new PeerHeadTracker(versions, clock, logger('configuration')));
   const wireSource = settings.log.kind === 'platform' ? wirePlatform : wireStreams;
   return { versions, heads, source: wireSource(core, members, heads) };
 }
@@ -341,6 +351,9 @@
       const { confirmedAt } = heads.knowledge;
       return confirmedAt === undefined ? -1 : (clock.now() - confirmedAt) / MS_PER_SECOND;
     },
+    newestVersionHeard: () => heads.newestVersionHeard ?? -1,
+    versionBehindSeconds: () => heads.behindMs / MS_PER_SECOND,
+    versionsRefused: () => heads.refusedCount,
     members: () => members.live().length,
     suspects: () => members.live().filter(({ health }) => health === 'suspect').length,
     links: () => overlay.state.filter(({ up }) => up).length,
