Validate a version in slices, so that a large one doesn't hold up calls

Change: mergeFolder and the digest are generators of short steps; runInSlices gives the event loop a turn each 8 ms, runAtOnce runs them for commands and the replay. VersionStore.prepare validates, activate only swaps. PeerHeadTracker validates one version at a time; changes to one that is being validated aren't fetched again, those to a version that is in force already aren't applied, and no longer end in a fetch of the whole. A transfer of changes has 10 s, and its lease is given back when it fails.

--- a/src/common/Types.ts
+++ b/src/common/Types.ts
@@ -59,6 +59,9 @@
   now(): number;
 }
 
+/** Long work in short steps, so that other work can run in between. */
+export type Steps<Result> = Generator<void, Result, void>;
+
 /** Source of random numbers; tests use a fixed seed. */
 export interface Random {
   /**
--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -12,7 +12,7 @@
   VersionNumber,
   ZoneName,
 } from '../common/Types';
-import mergeFolder from '../version/mergeFolder';
+import { mergeSteps } from '../version/mergeFolder';
 import VersionStore from '../version/VersionStore';
 import ConfigurationWatcher from './ConfigurationWatcher';
 import LogExpiredError from './LogExpiredError';
@@ -79,7 +79,7 @@
     { suspicionMs: 1_000, tombstoneMs: 1_000, partitionTimeoutMs: 1_000 },
     clock,
   );
-  const versions = new VersionStore(mergeFolder);
+  const versions = new VersionStore(mergeSteps, clock);
   const inForce: number[] = [];
   versions.onActivate(({ head }) => inForce.push(head.version));
   const readsLog: boolean[] = [];
--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -1,8 +1,9 @@
 import { jitteredBackoff, jitteredPeriod, type Backoff } from '../common/backoff';
+import runInSlices from '../common/runInSlices';
 import sleep from '../common/sleep';
 import type { Clock, Disposable, Logger, Offset, Random } from '../common/Types';
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
-import { applyChanges, folderChanges, folderDigest } from '../version/folder';
+import { applyChanges, digestSteps, folderChanges } from '../version/folder';
 import InvalidHeadError from '../version/InvalidHeadError';
 import type { Head } from '../version/Types';
 import LogError from './LogError';
@@ -167,11 +168,15 @@
     return this.store.changes(this.nextOffset, waitMs, signal);
   }
 
-  private apply(configuration: PublishedConfiguration | undefined, through: Offset): boolean {
-    const head = configuration && this.buildHead(configuration);
+  /** @returns Whether a newer version is in force now than before. */
+  private async apply(
+    configuration: PublishedConfiguration | undefined,
+    through: Offset,
+  ): Promise<boolean> {
+    const head = configuration && (await this.buildHead(configuration));
     const before = this.heads.knowledge.version;
     try {
-      this.heads.applyLogHead(head, through, true);
+      await this.heads.applyLogHead(head, through, true);
     } catch (error) {
       // The tracker has logged the refusal; the version before stays in force.
       if (!(error instanceof InvalidHeadError)) throw error;
@@ -180,7 +185,7 @@
     return before !== this.heads.knowledge.version;
   }
 
-  private buildHead({ version, folder: published }: PublishedConfiguration): Head {
+  private async buildHead({ version, folder: published }: PublishedConfiguration): Promise<Head> {
     // Unchanged files keep their object identity, so that they aren't parsed again.
     const known = this.heads.head?.folder ?? [];
     const folder = applyChanges(known, folderChanges(known, published));
@@ -188,7 +193,7 @@
       schema: SCHEMA_NUMBER,
       version,
       publicationId: `store-${version}` as Head['publicationId'],
-      digest: folderDigest(folder),
+      digest: await runInSlices(digestSteps(folder), this.clock),
       folder,
     };
   }
--- a/src/connection/LogTailer.ts
+++ b/src/connection/LogTailer.ts
@@ -142,7 +142,8 @@
       }
       return;
     }
-    this.heads.applyLogHead(replay.head, replay.nextOffset, replay.nextOffset >= batch.next);
+    const isAtEnd = replay.nextOffset >= batch.next;
+    await this.heads.applyLogHead(replay.head, replay.nextOffset, isAtEnd);
   }
 
   /**
--- a/src/connection/PeerHeadTracker.test.ts
+++ b/src/connection/PeerHeadTracker.test.ts
@@ -5,7 +5,7 @@
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
 import { folderDigest } from '../version/folder';
 import InvalidHeadError from '../version/InvalidHeadError';
-import mergeFolder from '../version/mergeFolder';
+import { mergeSteps } from '../version/mergeFolder';
 import type { Head } from '../version/Types';
 import VersionStore from '../version/VersionStore';
 import PeerHeadTracker from './PeerHeadTracker';
@@ -51,30 +51,28 @@
 function createTracker() {
   const clock = new ManualClock();
   const lines: string[] = [];
-  const tracker = new PeerHeadTracker(new VersionStore(mergeFolder), clock, {
+  const tracker = new PeerHeadTracker(new VersionStore(mergeSteps, clock), clock, {
     log: (text, fields) => lines.push(`${text} ${JSON.stringify(fields)}`),
   });
   return { clock, lines, tracker };
 }
 
-test('each version that comes into force or is refused is logged, whichever way it came', () => {
+test('each version that comes into force or is refused is logged, whichever way it came', async () => {
   const { clock, lines, tracker } = createTracker();
-  tracker.applyLogHead(head(3, 1), 4 as Offset, true);
+  await tracker.applyLogHead(head(3, 1), 4 as Offset, true);
   clock.advance(1_000);
   tracker.observeHeartbeat(heartbeat(5));
   clock.advance(250);
-  tracker.applyPeerDelta(message(5, 2), PEER);
-  tracker.applyPeerDelta(message(7, 2, '0'.repeat(64)), undefined);
-  assert.throws(
-    () => tracker.applyLogHead(head(9, -1), 10 as Offset, true),
-    (error: Error) => error instanceof InvalidHeadError,
-  );
+  await tracker.applyPeerDelta(message(5, 2), PEER);
+  await tracker.applyPeerDelta(message(7, 2, '0'.repeat(64)), undefined);
+  const refusal = await tracker.applyLogHead(head(9, -1), 10 as Offset, true).catch((e) => e);
+  assert.instance(refusal, InvalidHeadError);
   clock.advance(400);
   assert.equal(
     [tracker.knowledge.version, tracker.newestVersionHeard, tracker.behindMs, tracker.refusedCount],
     [5, 9, 400, 2],
   );
-  tracker.applyLogHead(head(11, 3), 12 as Offset, true);
+  await tracker.applyLogHead(head(11, 3), 12 as Offset, true);
   assert.equal([tracker.refusedHead, tracker.behindMs], [undefined, 0]);
   assert.snapshot(
     lines.join('\n'),
@@ -86,4 +84,29 @@
   );
 });
 
+test('changes that arrive while a version is validated are applied after it, and none twice', async () => {
+  const { lines, tracker } = createTracker();
+  const outcomes = await Promise.all([
+    tracker.applyPeerDelta(message(3, 1), PEER),
+    tracker.applyPeerDelta(message(3, 1), undefined),
+    tracker.applyLogHead(head(5, 2), 6 as Offset, true),
+    tracker.applyPeerDelta(message(4, 1), PEER),
+  ]);
+  assert.equal(outcomes, ['in force', 'in force', undefined, 'in force']);
+  assert.is(tracker.knowledge.version, 5);
+  assert.equal(
+    lines.map((line) => /"version":\d+/.exec(line)![0]),
+    ['"version":3', '"version":5'],
+  );
+});
+
+test('a version that is being validated is not fetched again', async () => {
+  const { tracker } = createTracker();
+  assert.is(tracker.isBehind(heartbeat(3)), true);
+  const applied = tracker.applyPeerDelta(message(3, 1), PEER);
+  assert.is(tracker.isBehind(heartbeat(3)), false);
+  assert.is(tracker.isBehind(heartbeat(4)), true);
+  await applied;
+});
+
 test.run();
--- a/src/connection/PeerHeadTracker.ts
+++ b/src/connection/PeerHeadTracker.ts
@@ -1,9 +1,10 @@
+import PQueue from 'p-queue';
 import Emitter from '../common/Emitter';
 import type { Clock, DaemonId, Disposable, Logger, Offset, VersionNumber } from '../common/Types';
 import { applyChanges } from '../version/folder';
 import InvalidHeadError from '../version/InvalidHeadError';
 import type { CurrentVersion, Folder, Head } from '../version/Types';
-import type { Heartbeat, DeltaMessage, HeadTracker, Knowledge } from './Types';
+import type { DeltaMessage, DeltaOutcome, Heartbeat, HeadTracker, Knowledge } from './Types';
 
 /**
  * Merges configuration versions from the log and from peers. The version in force, its log offset
@@ -18,6 +19,12 @@
 
   private refusals = 0;
 
+  /** Newest version that is being validated; its changes needn't be fetched again. */
+  private pendingVersion: VersionNumber | undefined;
+
+  /** Validates one version at a time, so that daemons with the same version do the work once. */
+  private readonly validationQueue = new PQueue({ concurrency: 1 });
+
   private newestHeard: VersionNumber | undefined;
 
   /** Monotonic time in ms at which a version newer than the one in force was first heard of. */
@@ -71,7 +78,11 @@
   }
 
   public isBehind(heartbeat: Heartbeat): boolean {
-    const known = Math.max(this.version ?? -1, this.rejectedHead?.version ?? -1);
+    const known = Math.max(
+      this.version ?? -1,
+      this.pendingVersion ?? -1,
+      this.rejectedHead?.version ?? -1,
+    );
     return heartbeat.version !== null && heartbeat.version > known;
   }
 
@@ -83,28 +94,37 @@
     this.confirm(this.clock.now() - heartbeat.ageMs);
   }
 
-  public applyLogHead(head: Head | undefined, through: Offset, confirmed: boolean): void {
-    const advanced = head !== undefined && this.activate(head, 'store', through);
+  public async applyLogHead(
+    head: Head | undefined,
+    through: Offset,
+    confirmed: boolean,
+  ): Promise<void> {
+    const readAt = this.clock.now();
+    const advanced = head !== undefined && (await this.putInForce(head, 'store', through));
     if (through > this.through) this.through = through;
-    if (confirmed) this.confirm(this.clock.now());
+    if (confirmed) this.confirm(readAt);
     if (advanced) this.advanceEmitter.fire(this.knowledge);
   }
 
-  public applyPeerDelta({ delta, through }: DeltaMessage, peer: DaemonId | undefined): boolean {
-    const base = this.baseFolder(delta.base);
-    if (!base) return false;
+  public async applyPeerDelta(
+    { delta, through }: DeltaMessage,
+    peer: DaemonId | undefined,
+  ): Promise<DeltaOutcome> {
     const { schema, version, publicationId, digest } = delta;
+    if (version <= (this.version ?? -1)) return 'in force';
+    const base = this.baseFolder(delta.base);
+    if (!base) return 'unknown base';
     const folder = applyChanges(base, delta.changes);
+    const head = { schema, version, publicationId, digest, folder };
     try {
-      const head = { schema, version, publicationId, digest, folder };
-      if (!this.activate(head, peer ?? 'a peer', through)) return this.version === version;
+      if (!(await this.putInForce(head, peer ?? 'a peer', through))) return 'in force';
     } catch (error) {
       if (!(error instanceof InvalidHeadError)) throw error;
-      return false;
+      return 'refused';
     }
     if (through > this.through) this.through = through;
     this.advanceEmitter.fire(this.knowledge);
-    return true;
+    return 'in force';
   }
 
   public changesSince(base: VersionNumber | null): DeltaMessage | undefined {
@@ -117,24 +137,32 @@
   }
 
   /**
-   * Puts a version in force unless it is no newer than the current one, and logs the result.
+   * Validates a version and puts it in force, unless one as new has come into force meanwhile.
    *
    * @throws InvalidHeadError - The version is invalid.
    */
-  private activate(head: Head, source: string, through: Offset): boolean {
+  private putInForce(head: Head, source: string, through: Offset): Promise<boolean> {
+    this.hear(head.version);
+    this.pendingVersion = head.version;
+    return this.validationQueue.add(async () => {
+      const startedAt = this.clock.now();
+      try {
+        if (head.version <= (this.version ?? -1)) return false;
+        await this.versions.prepare(head);
+        return this.activate(head, source, through, startedAt);
+      } catch (error) {
+        if (error instanceof InvalidHeadError) this.recordRefusal(error, source);
+        throw error;
+      } finally {
+        if (this.pendingVersion === head.version) this.pendingVersion = undefined;
+      }
+    });
+  }
+
+  private activate(head: Head, source: string, through: Offset, startedAt: number): boolean {
     const before = this.version;
-    const { version } = head;
-    this.hear(version);
-    const startedAt = this.clock.now();
-    try {
-      if (!this.versions.activate(head)) return false;
-    } catch (error) {
-      if (!(error instanceof InvalidHeadError)) throw error;
-      this.refusals += 1;
-      this.rejectedHead = error;
-      this.logger.log('A version was refused.', { version, before, source, reason: error.message });
-      throw error;
-    }
+    const { version, folder } = head;
+    if (!this.versions.activate(head)) return false;
     const behindMs = Math.round(this.behindMs);
     if (version >= (this.newestHeard ?? version)) this.behindSince = undefined;
     this.logger.log('A version came into force.', {
@@ -142,13 +170,20 @@
       before,
       through,
       source,
-      files: head.folder.length,
+      files: folder.length,
       behindMs,
       tookMs: Math.round(this.clock.now() - startedAt),
     });
     return true;
   }
 
+  private recordRefusal(error: InvalidHeadError, source: string): void {
+    this.refusals += 1;
+    this.rejectedHead = error;
+    const { version, message: reason } = error;
+    this.logger.log('A version was refused.', { version, before: this.version, source, reason });
+  }
+
   private hear(version: VersionNumber): void {
     if (version <= (this.newestHeard ?? -1)) return;
     this.newestHeard = version;
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -17,6 +17,8 @@
 } from './Types';
 
 const RESPONSE_TIMEOUT_MS = 2_000;
+/** Timeout of sending or fetching changes, which may be large and share a slow link, in milliseconds. */
+const TRANSFER_TIMEOUT_MS = 10_000;
 /**
  * Number of consecutive heartbeats with differing member digests after which a link synchronises
  * both member tables.
@@ -38,12 +40,13 @@
   readonly heartbeatIntervalMs: number;
 }
 
-/** Awaits a response until the response timeout or the end of the connection. */
+/** Awaits a response until the timeout or the end of the connection. */
 function awaitResponse<Result>(
   ended: AbortSignal,
   sendRequest: (signal: AbortSignal) => Promise<Result>,
+  timeoutMs = RESPONSE_TIMEOUT_MS,
 ): Promise<Result> {
-  return withStallAwareTimeout([ended], RESPONSE_TIMEOUT_MS, sendRequest);
+  return withStallAwareTimeout([ended], timeoutMs, sendRequest);
 }
 
 /** An outgoing connection to one peer, with its heartbeats and member synchronisation. */
@@ -154,14 +157,19 @@
     gossip.recordPeerVersion(heartbeat);
     if (heads.isBehind(heartbeat) && fetchLease.tryAcquire()) {
       const { version } = heads.knowledge;
-      const requestChanges = (base: Heartbeat['version']) =>
-        awaitResponse(ended, (signal) => client.changes.query({ base }, { signal }));
-      const message = await requestChanges(version);
-      if (message && !heads.applyPeerDelta(message, this.peer.id)) {
-        const whole = await requestChanges(null);
-        if (whole) heads.applyPeerDelta(whole, this.peer.id);
+      const applyChangesSince = async (base: Heartbeat['version']) => {
+        const message = await awaitResponse(
+          ended,
+          (signal) => client.changes.query({ base }, { signal }),
+          TRANSFER_TIMEOUT_MS,
+        );
+        return message && heads.applyPeerDelta(message, this.peer.id);
+      };
+      try {
+        if ((await applyChangesSince(version)) === 'unknown base') await applyChangesSince(null);
+      } finally {
+        fetchLease.release();
       }
-      fetchLease.release();
     }
     heads.observeHeartbeat(heartbeat);
   }
@@ -174,7 +182,11 @@
     const changes = heads.changesSince(base);
     if (!changes) return;
     const message = { ...changes, from: members.self.id };
-    await awaitResponse(ended, (signal) => client.deliver.mutate(message, { signal }));
+    await awaitResponse(
+      ended,
+      (signal) => client.deliver.mutate(message, { signal }),
+      TRANSFER_TIMEOUT_MS,
+    );
   }
 
   /** Anti-entropy: exchanges the member records in which both tables differ. */
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -253,6 +253,12 @@
   readonly from?: DaemonId | undefined;
 }
 
+/**
+ * Result of changes from a peer: the version, or a newer one, is in force; it is invalid; or this daemon
+ * doesn't have the version that the changes apply to.
+ */
+export type DeltaOutcome = 'in force' | 'refused' | 'unknown base';
+
 /** Configuration version that this daemon has, and when it was last confirmed to be the newest. */
 export interface Knowledge {
   readonly version: VersionNumber | null;
@@ -301,14 +307,16 @@
    * @param head - Newest configuration version in the records read, if any.
    * @param through - Offset after the last record read.
    * @param confirmed - Whether the log held no further records at the time of the read.
+   * @returns Resolves once the head is in force.
+   * @throws InvalidHeadError - The head is invalid; the version before stays in force.
    */
-  applyLogHead(head: Head | undefined, through: Offset, confirmed: boolean): void;
+  applyLogHead(head: Head | undefined, through: Offset, confirmed: boolean): Promise<void>;
   /**
    * @param message - Changes from a peer.
    * @param peer - The peer, for the log; `undefined` if it isn't known.
-   * @returns Whether this daemon now has the version that results from the changes.
+   * @returns Resolves once the version that results from the changes is in force or can't be.
    */
-  applyPeerDelta(message: DeltaMessage, peer: DaemonId | undefined): boolean;
+  applyPeerDelta(message: DeltaMessage, peer: DaemonId | undefined): Promise<DeltaOutcome>;
   /** @param base - Configuration version that the peer has; null if it has none. */
   changesSince(base: VersionNumber | null): DeltaMessage | undefined;
   /** @returns Whether the sender of this heartbeat has a newer version than this daemon. */
--- a/src/connection/peerRouter.ts
+++ b/src/connection/peerRouter.ts
@@ -80,10 +80,12 @@
     }),
 
     /** Receives the configuration changes that the reply to a heartbeat requested. */
-    deliver: trpc.procedure.input(deltaMessageSchema).mutation(({ input }): boolean => {
-      fetchLease.release();
-      return heads.applyPeerDelta(input, input.from);
-    }),
+    deliver: trpc.procedure
+      .input(deltaMessageSchema)
+      .mutation(async ({ input }): Promise<boolean> => {
+        fetchLease.release();
+        return (await heads.applyPeerDelta(input, input.from)) === 'in force';
+      }),
 
     /** Streams member changes and new versions to the peer that opened the connection. */
     updates: trpc.procedure.input(daemonIdSchema).subscription(async function* updates({
--- a/src/process/UpstreamRegistration.test.ts
+++ b/src/process/UpstreamRegistration.test.ts
@@ -16,7 +16,7 @@
 import DEFAULT_HEADER_NAMES from '../request/defaultHeaderNames';
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
 import { folderDigest } from '../version/folder';
-import mergeFolder from '../version/mergeFolder';
+import { mergeSteps } from '../version/mergeFolder';
 import type { Head } from '../version/Types';
 import VersionStore from '../version/VersionStore';
 import type { Announcement } from './Types';
@@ -74,7 +74,7 @@
     { suspicionMs: 1_000, tombstoneMs: 1_000, partitionTimeoutMs: 1_000 },
     clock,
   );
-  const versions = new VersionStore(mergeFolder);
+  const versions = new VersionStore(mergeSteps, clock);
   versions.activate(headOf('[service.stock]\n[service.desk]\n'));
   const registration = new UpstreamRegistration({
     members,
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -41,7 +41,7 @@
 import PeerTransport from '../request/PeerTransport';
 import RetryAdvice from '../request/RetryAdvice';
 import RoutingTransport from '../request/RoutingTransport';
-import mergeFolder from '../version/mergeFolder';
+import { mergeSteps } from '../version/mergeFolder';
 import mergePublication from '../version/mergePublication';
 import VersionStore from '../version/VersionStore';
 import AcceptDelays from './AcceptDelays';
@@ -242,7 +242,7 @@
 /** Creates the store of the configuration in force and the components that keep it current. */
 function wireConfiguration(core: Core, members: MemberTable) {
   const { settings, resources, clock, logger } = core;
-  const versions = resources.add(new VersionStore(mergeFolder));
+  const versions = resources.add(new VersionStore(mergeSteps, clock));
   const heads = resources.add(new PeerHeadTracker(versions, clock, logger('configuration')));
   const wireSource = settings.log.kind === 'platform' ? wirePlatform : wireStreams;
   return { versions, heads, source: wireSource(core, members, heads) };
--- a/src/version/IndexedSnapshot.ts
+++ b/src/version/IndexedSnapshot.ts
@@ -13,7 +13,10 @@
   ) {
     const routes = [...configuration.routes.values()];
     this.routeTable = new RouteTable(routes);
-    this.shortestObjectiveMs = Math.min(...routes.map(({ objectiveMs }) => objectiveMs));
+    this.shortestObjectiveMs = routes.reduce(
+      (shortest, { objectiveMs }) => Math.min(shortest, objectiveMs),
+      Infinity,
+    );
   }
 
   public match(method: string, host: string, path: string): Route | undefined {
--- a/src/version/Types.ts
+++ b/src/version/Types.ts
@@ -12,6 +12,7 @@
   PublicationId,
   RouteName,
   ServiceName,
+  Steps,
   VersionNumber,
 } from '../common/Types';
 
@@ -196,6 +197,9 @@
 /** Function that merges the files of a configuration folder and validates the result. */
 export type FolderMerger = (folder: Folder) => MergeResult;
 
+/** Function that does the same in steps. */
+export type StepwiseMerger = (folder: Folder) => Steps<MergeResult>;
+
 /**
  * A version with its merged configuration and an index of its routes, both built before the version
  * is put in force.
@@ -222,7 +226,15 @@
   /** Fires after a new version was put in force. */
   readonly onActivate: Event<Snapshot>;
   /**
-   * Validates a version and puts it in force. Does nothing unless it is newer than the current one.
+   * Validates a version in slices, so that putting it in force takes no long turn of the event loop.
+   *
+   * @param head - The new version.
+   * @throws InvalidHeadError - The version is invalid.
+   */
+  prepare(head: Head): Promise<void>;
+  /**
+   * Validates a version, unless it was prepared, and puts it in force. Does nothing unless it is newer
+   * than the current one.
    *
    * @param head - The new version.
    * @returns Whether it was put in force.
--- a/src/version/folder.ts
+++ b/src/version/folder.ts
@@ -5,9 +5,27 @@
  */
 import { createHash } from 'node:crypto';
 import compareBytes from '../common/compareBytes';
-import type { Digest, FileName } from '../common/Types';
+import runAtOnce from '../common/runAtOnce';
+import type { Digest, FileName, Steps } from '../common/Types';
 import type { FileChange, Folder, FolderFile } from './Types';
 
+/**
+ * Computes the digest of a folder in steps of one file.
+ *
+ * @param folder - Files in name order; another order gives another digest.
+ * @returns SHA-256 of a canonical JSON encoding, in hexadecimal.
+ */
+export function* digestSteps(folder: Folder): Steps<Digest> {
+  const hash = createHash('sha256').update('[');
+  let separator = '';
+  for (const { name, content } of folder) {
+    hash.update(`${separator}${JSON.stringify([name, content])}`);
+    separator = ',';
+    yield;
+  }
+  return hash.update(']').digest('hex') as Digest;
+}
+
 /**
  * Computes the digest of a folder over the names and contents of its files.
  *
@@ -15,8 +33,7 @@
  * @returns SHA-256 of a canonical JSON encoding, in hexadecimal.
  */
 export function folderDigest(folder: Folder): Digest {
-  const canonical = JSON.stringify(folder.map(({ name, content }) => [name, content]));
-  return createHash('sha256').update(canonical).digest('hex') as Digest;
+  return runAtOnce(digestSteps(folder));
 }
 
 /**
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -5,7 +5,8 @@
  */
 import { parse, TomlError } from 'smol-toml';
 import type * as z from 'zod';
-import type { FileName, RouteName, ServiceName } from '../common/Types';
+import runAtOnce from '../common/runAtOnce';
+import type { FileName, RouteName, ServiceName, Steps } from '../common/Types';
 import {
   DEFAULTS,
   defaultsSchema,
@@ -133,12 +134,12 @@
   return issues;
 }
 
-function parseEntries<Schema extends z.ZodType>(
+function* parseEntries<Schema extends z.ZodType>(
   kind: 'service' | 'route',
   section: Section,
   schema: Schema,
   issues: ValidationIssue[],
-): Map<string, z.output<Schema>> {
+): Steps<Map<string, z.output<Schema>>> {
   const parsed = new Map<string, z.output<Schema>>();
   for (const [name, { value, file }] of section) {
     const table = `${kind}.${name}`;
@@ -149,6 +150,7 @@
     const result = validate(schema, value);
     if (result.success) parsed.set(name, result.data);
     else issues.push(...schemaIssues(result.error, value, source));
+    yield;
   }
   return parsed;
 }
@@ -261,11 +263,11 @@
 }
 
 /** Reports invalid targets of routes, and routes that match the same host, path and method. */
-function crossReferenceIssues(
+function* crossReferenceIssues(
   sections: Sections,
   services: ReadonlyMap<ServiceName, Service>,
   routes: readonly Route[],
-): ValidationIssue[] {
+): Steps<ValidationIssue[]> {
   const issues: ValidationIssue[] = [];
   const routesByPath = new Map<string, Route[]>();
   for (const route of routes) {
@@ -284,6 +286,7 @@
       );
     }
     routesByPath.set(hostAndPath, [...samePath, route]);
+    yield;
   }
   return issues;
 }
@@ -299,32 +302,36 @@
 }
 
 /**
- * Merges the files of a folder in name order and validates the result. A later file replaces a
- * whole service, a whole route, the whole `[limits]` table or a single key of `[defaults]`. The
- * result depends on the folder only, so every daemon gets the same one.
+ * Merges and validates a folder as {@link mergeFolder} does, in steps of one file or entry.
  *
  * @param folder - Files in name order.
  * @returns The merged configuration, or all validation issues.
  */
-export default function mergeFolder(folder: Folder): MergeResult {
+export function* mergeSteps(folder: Folder): Steps<MergeResult> {
   const sections: Sections = {
     service: new Map(),
     route: new Map(),
     defaults: new Map(),
     limits: new Map(),
   };
-  const issues = folder.flatMap((file) => collectEntries(file, sections));
+  const issues: ValidationIssue[] = [];
+  for (const file of folder) {
+    issues.push(...collectEntries(file, sections));
+    yield;
+  }
   const defaults = parseDefaults(sections.defaults, issues);
   const limits = parseLimits(sections.limits, issues);
-  const parsedServices = parseEntries('service', sections.service, serviceSchema, issues);
-  const parsedRoutes = parseEntries('route', sections.route, routeSchema, issues);
+  const parsedServices = yield* parseEntries('service', sections.service, serviceSchema, issues);
+  const parsedRoutes = yield* parseEntries('route', sections.route, routeSchema, issues);
   const services = new Map(
     [...parsedServices].map(([name, parsed]) => [name as ServiceName, buildService(name, parsed)]),
   );
   const routes = [...parsedRoutes].map(([name, parsed]) => buildRoute(name, parsed, defaults));
   // References are checked only if all entries are valid: otherwise an invalid service would be
   // reported a second time, as undeclared, by each route to it.
-  if (issues.length === 0) issues.push(...crossReferenceIssues(sections, services, routes));
+  if (issues.length === 0) {
+    issues.push(...(yield* crossReferenceIssues(sections, services, routes)));
+  }
   if (issues.length > 0) return { kind: 'invalid', issues };
   return {
     kind: 'valid',
@@ -337,3 +344,15 @@
     },
   };
 }
+
+/**
+ * Merges the files of a folder in name order and validates the result. A later file replaces a
+ * whole service, a whole route, the whole `[limits]` table or a single key of `[defaults]`. The
+ * result depends on the folder only, so every daemon gets the same one.
+ *
+ * @param folder - Files in name order.
+ * @returns The merged configuration, or all validation issues.
+ */
+export default function mergeFolder(folder: Folder): MergeResult {
+  return runAtOnce(mergeSteps(folder));
+}
