Compress the changes that daemons send each other, once for all peers

What callers saw: an old version for seconds behind a jump by 1,600 routes.

Cause: the changes of 1,600 routes are 335 kB for each peer, half a second on a link of 5 Mbit/s, encoded anew for each.

The limit on a message between daemons lies above what a store keeps of a topic.

--- a/src/connection/PeerHeadTracker.test.ts
+++ b/src/connection/PeerHeadTracker.test.ts
@@ -1,9 +1,10 @@
+import { encode } from '@msgpack/msgpack';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import ManualClock from '../../stand-in/ManualClock';
 import type { DaemonId, Digest, FileName, Offset, VersionNumber } from '../common/Types';
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
-import { folderDigest } from '../version/folder';
+import { folderDigest, sortedFolder } from '../version/folder';
 import InvalidHeadError from '../version/InvalidHeadError';
 import { mergeSteps } from '../version/mergeFolder';
 import type { Head } from '../version/Types';
@@ -109,4 +110,26 @@
   await applied;
 });
 
+test('the changes of 1,600 routes reach eight peers in a second over a link of 5 Mbit/s', async () => {
+  const { tracker: sender } = createTracker();
+  const { tracker: receiver } = createTracker();
+  const before = head(3, 1);
+  const routes = Array.from({ length: 1_600 }, (_, index) => ({
+    name: `30-route-r-${index * 7919}.toml` as FileName,
+    content: `[route.r-${index * 7919}]\nhost = "wude7.example"\npath = "/mifi${index}/"\nservice = "stock"\ntimeout = "${index}ms"\nobjective = "800ms"\nretries = 2\nidempotent = true\npriority = 1\n`,
+  }));
+  const folder = sortedFolder([...before.folder, ...routes]);
+  const after = { ...head(5, 1), folder, digest: folderDigest(folder) };
+  await receiver.applyLogHead(before, 4 as Offset, true);
+  await sender.applyLogHead(before, 4 as Offset, true);
+  await sender.applyLogHead(after, 6 as Offset, true);
+  const changes = await sender.changesSince({ base: before.version, packed: true });
+  const bytes = encode(changes).length;
+  assert.ok(bytes * 8 * 8 <= 5_000_000, `${bytes} bytes`);
+  assert.is(await receiver.applyPeerDelta(changes!, PEER), 'in force');
+  assert.is(receiver.head?.digest, after.digest);
+  const unpacked = await sender.changesSince({ base: before.version });
+  assert.is(unpacked && 'changes' in unpacked.delta && unpacked.delta.changes.length, 1_600);
+});
+
 test.run();
--- a/src/connection/PeerHeadTracker.ts
+++ b/src/connection/PeerHeadTracker.ts
@@ -3,8 +3,17 @@
 import type { Clock, DaemonId, Disposable, Logger, Offset, VersionNumber } from '../common/Types';
 import { applyChanges } from '../version/folder';
 import InvalidHeadError from '../version/InvalidHeadError';
-import type { CurrentVersion, Folder, Head } from '../version/Types';
-import type { DeltaMessage, DeltaOutcome, Heartbeat, HeadTracker, Knowledge } from './Types';
+import type { CurrentVersion, Delta, Folder, Head } from '../version/Types';
+import { packChanges, unpackChanges } from './packedChanges';
+import type {
+  DeltaMessage,
+  DeltaOutcome,
+  DeltaRequest,
+  Heartbeat,
+  HeadTracker,
+  Knowledge,
+  PackedDelta,
+} from './Types';
 
 /**
  * Merges configuration versions from the log and from peers. The version in force, its log offset
@@ -30,6 +39,9 @@
   /** Monotonic time in ms at which a version newer than the one in force was first heard of. */
   private behindSince: number | undefined;
 
+  /** Packed changes to the version in force, by the version that they apply to. */
+  private readonly packedDeltas = new Map<VersionNumber | null, Promise<PackedDelta>>();
+
   private readonly advanceEmitter = new Emitter<Knowledge>();
 
   public readonly onAdvance = this.advanceEmitter.event;
@@ -112,24 +124,35 @@
   ): Promise<DeltaOutcome> {
     const { schema, version, publicationId, digest } = delta;
     if (version <= (this.version ?? -1)) return 'in force';
-    const base = this.baseFolder(delta.base);
-    if (!base) return 'unknown base';
-    const folder = applyChanges(base, delta.changes);
-    const head = { schema, version, publicationId, digest, folder };
+    this.expect(version);
     try {
+      const changes =
+        'packedChanges' in delta ? await unpackChanges(delta.packedChanges) : delta.changes;
+      const base = this.baseFolder(delta.base);
+      if (!base) return 'unknown base';
+      const folder = applyChanges(base, changes);
+      const head = { schema, version, publicationId, digest, folder };
       if (!(await this.putInForce(head, peer ?? 'a peer', through))) return 'in force';
     } catch (error) {
       if (!(error instanceof InvalidHeadError)) throw error;
       return 'refused';
+    } finally {
+      this.stopExpecting(version);
     }
     if (through > this.through) this.through = through;
     this.advanceEmitter.fire(this.knowledge);
     return 'in force';
   }
 
-  public changesSince(base: VersionNumber | null): DeltaMessage | undefined {
+  public async changesSince({ base, packed }: DeltaRequest): Promise<DeltaMessage | undefined> {
+    const { through } = this;
+    const known = packed ? await this.packedDeltas.get(base) : undefined;
+    if (known) return { delta: known, through };
     const delta = this.versions.changesSince(base);
-    return delta && { delta, through: this.through };
+    if (!delta || !packed) return delta && { delta, through };
+    const packing = this.pack(delta);
+    this.packedDeltas.set(base, packing);
+    return { delta: await packing, through };
   }
 
   public dispose(): void {
@@ -142,8 +165,7 @@
    * @throws InvalidHeadError - The version is invalid.
    */
   private putInForce(head: Head, source: string, through: Offset): Promise<boolean> {
-    this.hear(head.version);
-    this.pendingVersion = head.version;
+    this.expect(head.version);
     return this.validationQueue.add(async () => {
       const startedAt = this.clock.now();
       try {
@@ -154,7 +176,7 @@
         if (error instanceof InvalidHeadError) this.recordRefusal(error, source);
         throw error;
       } finally {
-        if (this.pendingVersion === head.version) this.pendingVersion = undefined;
+        this.stopExpecting(head.version);
       }
     });
   }
@@ -163,6 +185,7 @@
     const before = this.version;
     const { version, folder } = head;
     if (!this.versions.activate(head)) return false;
+    this.packedDeltas.clear();
     const behindMs = Math.round(this.behindMs);
     if (version >= (this.newestHeard ?? version)) this.behindSince = undefined;
     this.logger.log('A version came into force.', {
@@ -184,6 +207,19 @@
     this.logger.log('A version was refused.', { version, before: this.version, source, reason });
   }
 
+  private async pack({ changes, ...fields }: Delta): Promise<PackedDelta> {
+    return { ...fields, packedChanges: await packChanges(changes) };
+  }
+
+  private expect(version: VersionNumber): void {
+    this.hear(version);
+    if (version > (this.pendingVersion ?? -1)) this.pendingVersion = version;
+  }
+
+  private stopExpecting(version: VersionNumber): void {
+    if (this.pendingVersion === version) this.pendingVersion = undefined;
+  }
+
   private hear(version: VersionNumber): void {
     if (version <= (this.newestHeard ?? -1)) return;
     this.newestHeard = version;
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -8,6 +8,8 @@
 import PeerError from './PeerError';
 import type SocketMeter from './SocketMeter';
 import type {
+  DeltaMessage,
+  DeltaRequest,
   Heartbeat,
   HeartbeatRequest,
   HeadTracker,
@@ -146,7 +148,7 @@
       connection.client.beat.mutate(update, { signal }),
     );
     await this.catchUp(connection, reply.beat);
-    if (reply.wanted) await this.deliverDelta(connection, reply.wanted.base);
+    if (reply.wanted) await this.deliverDelta(connection, reply.wanted);
     this.digestMismatches = reply.beat.members === members.digest() ? 0 : this.digestMismatches + 1;
     if (this.digestMismatches >= MISMATCHES_BEFORE_SYNC) await this.syncMembers(connection);
   }
@@ -160,10 +162,11 @@
       const applyChangesSince = async (base: Heartbeat['version']) => {
         const message = await awaitResponse(
           ended,
-          (signal) => client.changes.query({ base }, { signal }),
+          (signal) => client.changes.query({ base, packed: true }, { signal }),
           TRANSFER_TIMEOUT_MS,
         );
-        return message && heads.applyPeerDelta(message, this.peer.id);
+        // tRPC infers the types of JSON, but the codec of these frames keeps byte arrays.
+        return message && heads.applyPeerDelta(message as DeltaMessage, this.peer.id);
       };
       try {
         if ((await applyChangesSince(version)) === 'unknown base') await applyChangesSince(null);
@@ -176,10 +179,10 @@
 
   private async deliverDelta(
     { client, ended }: PeerConnection,
-    base: Heartbeat['version'],
+    request: DeltaRequest,
   ): Promise<void> {
     const { heads, members } = this.services;
-    const changes = heads.changesSince(base);
+    const changes = await heads.changesSince(request);
     if (!changes) return;
     const message = { ...changes, from: members.self.id };
     await awaitResponse(
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -223,6 +223,8 @@
  */
 export interface DeltaRequest {
   readonly base: VersionNumber | null;
+  /** Whether the requester can read packed changes; older releases can't. */
+  readonly packed?: boolean | undefined;
 }
 
 /**
@@ -245,9 +247,14 @@
   readonly records: readonly MemberRecord[];
 }
 
+/** Changes that turn one version into a later one, compressed by `packChanges`. */
+export interface PackedDelta extends Omit<Delta, 'changes'> {
+  readonly packedChanges: Uint8Array;
+}
+
 /** A configuration change sent from one daemon to another. */
 export interface DeltaMessage {
-  readonly delta: Delta;
+  readonly delta: Delta | PackedDelta;
   readonly through: Offset;
   /** Daemon that pushes the changes; older releases leave it out. */
   readonly from?: DaemonId | undefined;
@@ -317,8 +324,11 @@
    * @returns Resolves once the version that results from the changes is in force or can't be.
    */
   applyPeerDelta(message: DeltaMessage, peer: DaemonId | undefined): Promise<DeltaOutcome>;
-  /** @param base - Configuration version that the peer has; null if it has none. */
-  changesSince(base: VersionNumber | null): DeltaMessage | undefined;
+  /**
+   * @param request - Configuration version that the peer has, and whether it reads packed changes.
+   * @returns The changes; `undefined` if no version is in force.
+   */
+  changesSince(request: DeltaRequest): Promise<DeltaMessage | undefined>;
   /** @returns Whether the sender of this heartbeat has a newer version than this daemon. */
   isBehind(heartbeat: Heartbeat): boolean;
   /** The configuration version in force; `undefined` if there is none. */
--- a/src/connection/messageSchema.ts
+++ b/src/connection/messageSchema.ts
@@ -14,8 +14,15 @@
   VersionNumber,
   ZoneName,
 } from '../common/Types';
-import { deltaSchema } from '../version/recordSchema';
-import type { Heartbeat, HeartbeatRequest, DeltaMessage, MemberRecord, SyncRequest } from './Types';
+import { deltaFieldsSchema, deltaSchema } from '../version/recordSchema';
+import type {
+  Heartbeat,
+  HeartbeatRequest,
+  DeltaMessage,
+  MemberRecord,
+  PackedDelta,
+  SyncRequest,
+} from './Types';
 
 const MAX_RECORDS_PER_MESSAGE = 20_000;
 const MAX_BUCKETS = 256;
@@ -71,11 +78,18 @@
 });
 
 /** Schema of a request for the changes since version `base`. */
-export const deltaRequestSchema = z.object({ base: countSchema<VersionNumber>().nullable() });
+export const deltaRequestSchema = z.object({
+  base: countSchema<VersionNumber>().nullable(),
+  packed: z.boolean().optional(),
+});
+
+const packedDeltaSchema: z.ZodType<PackedDelta> = deltaFieldsSchema.extend({
+  packedChanges: z.instanceof(Uint8Array),
+});
 
 /** Schema of a {@link DeltaMessage}. */
 export const deltaMessageSchema: z.ZodType<DeltaMessage> = z.object({
-  delta: deltaSchema,
+  delta: z.union([packedDeltaSchema, deltaSchema]),
   through: countSchema<Offset>(),
   from: daemonId.optional(),
 });
--- a/src/connection/peerRouter.ts
+++ b/src/connection/peerRouter.ts
@@ -67,7 +67,7 @@
 
   function requestDelta(update: HeartbeatRequest): DeltaRequest | null {
     if (!heads.isBehind(update.beat) || !fetchLease.tryAcquire()) return null;
-    return { base: heads.knowledge.version };
+    return { base: heads.knowledge.version, packed: true };
   }
 
   return trpc.router({
@@ -112,7 +112,7 @@
     changes: trpc.procedure
       .input(deltaRequestSchema)
       .query(({ input }): Promise<DeltaMessage | null> =>
-        services.queryQueue.add(() => heads.changesSince(input.base) ?? null),
+        services.queryQueue.add(async () => (await heads.changesSince(input)) ?? null),
       ),
 
     /** Anti-entropy: compares bucket digests and returns the records of differing buckets. */
--- a/src/process/servePeers.ts
+++ b/src/process/servePeers.ts
@@ -13,8 +13,11 @@
 import { CHANNEL_PATH, channelOpener } from '../request/channelUrl';
 import type Listener from './Listener';
 
-/** Maximum size of a WebSocket message of the peer procedures, in bytes. */
-const MAX_PROCEDURE_MESSAGE_BYTES = 8 * 1024 * 1024;
+/**
+ * Maximum size of a WebSocket message of the peer procedures, in bytes. More than a store keeps of one
+ * topic, as the changes of a version that a store accepted must reach every daemon.
+ */
+const MAX_PROCEDURE_MESSAGE_BYTES = 256 * 1024 * 1024;
 
 /** Accepts a channel that another daemon opened to send calls over. */
 export type ChannelAcceptor = (socket: WebSocket, tcpSocket: Socket, daemon: DaemonId) => void;
--- a/src/version/recordSchema.ts
+++ b/src/version/recordSchema.ts
@@ -55,13 +55,17 @@
   }),
 });
 
-/** Schema of a {@link Delta} in messages between daemons. */
-export const deltaSchema: z.ZodType<Delta> = z.object({
+/** Schema of the fields of a {@link Delta} without its changes. */
+export const deltaFieldsSchema = z.object({
   base: version.nullable(),
   schema: z.int(),
   version,
   publicationId,
   digest,
+});
+
+/** Schema of a {@link Delta} in messages between daemons. */
+export const deltaSchema: z.ZodType<Delta> = deltaFieldsSchema.extend({
   changes: z.array(fileChangeSchema),
 });
 
