--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -8,6 +8,8 @@
 import PeerError from './PeerError';
 import type SocketMeter from './SocketMeter';
 import type {
+  DeltaMessage,
+  DeltaRequest,
   Heartbeat,
   HeartbeatRequest,
   HeadTracker,
@@ -17,6 +19,8 @@
 } from './Types';
 
 const RESPONSE_TIMEOUT_MS = 2_000;
+/** Timeout of sending or fetching changes, which may be large and share a slow link, in milliseconds. */
+const TRANSFER_TIMEOUT_MS = 10_000;
 /**
  * Number of consecutive heartbeats with differing member digests after which a link synchronises
  * both member tables.
@@ -38,12 +42,13 @@
   readonly heartbeatIntervalMs: number;
 }
 
-/** Awaits a response until the response timeout or the end of the connection. */
+/** Awaits a response until the timeout or the end of the connection. */
 function awaitResponse<Result>(
   ended: AbortSignal,
   sendRequest: (signal: AbortSignal) => Promise<Result>,
+  timeoutMs = RESPONSE_TIMEOUT_MS,
 ): Promise<Result> {
-  return withStallAwareTimeout([ended], RESPONSE_TIMEOUT_MS, sendRequest);
+  return withStallAwareTimeout([ended], timeoutMs, sendRequest);
 }
 
 /** An outgoing connection to one peer, with its heartbeats and member synchronisation. */
@@ -143,7 +148,7 @@
       connection.client.beat.mutate(update, { signal }),
     );
     await this.catchUp(connection, reply.beat);
-    if (reply.wanted) await this.deliverDelta(connection, reply.wanted.base);
+    if (reply.wanted) await this.deliverDelta(connection, reply.wanted);
     this.digestMismatches = reply.beat.members === members.digest() ? 0 : this.digestMismatches + 1;
     if (this.digestMismatches >= MISMATCHES_BEFORE_SYNC) await this.syncMembers(connection);
   }
@@ -154,27 +159,37 @@
     gossip.recordPeerVersion(heartbeat);
     if (heads.isBehind(heartbeat) && fetchLease.tryAcquire()) {
       const { version } = heads.knowledge;
-      const requestChanges = (base: Heartbeat['version']) =>
-        awaitResponse(ended, (signal) => client.changes.query({ base }, { signal }));
-      const message = await requestChanges(version);
-      if (message && !heads.applyPeerDelta(message, this.peer.id)) {
-        const whole = await requestChanges(null);
-        if (whole) heads.applyPeerDelta(whole, this.peer.id);
+      const applyChangesSince = async (base: Heartbeat['version']) => {
+        const message = await awaitResponse(
+          ended,
+          (signal) => client.changes.query({ base, packed: true }, { signal }),
+          TRANSFER_TIMEOUT_MS,
+        );
+        // tRPC infers the types of JSON, but the codec of these frames keeps byte arrays.
+        return message && heads.applyPeerDelta(message as DeltaMessage, this.peer.id);
+      };
+      try {
+        if ((await applyChangesSince(version)) === 'unknown base') await applyChangesSince(null);
+      } finally {
+        fetchLease.release();
       }
-      fetchLease.release();
     }
     heads.observeHeartbeat(heartbeat);
   }
 
   private async deliverDelta(
     { client, ended }: PeerConnection,
-    base: Heartbeat['version'],
+    request: DeltaRequest,
   ): Promise<void> {
     const { heads, members } = this.services;
-    const changes = heads.changesSince(base);
+    const changes = await heads.changesSince(request);
     if (!changes) return;
     const message = { ...changes, from: members.self.id };
-    await awaitResponse(ended, (signal) => client.deliver.mutate(message, { signal }));
+    await awaitResponse(
+      ended,
+      (signal) => client.deliver.mutate(message, { signal }),
+      TRANSFER_TIMEOUT_MS,
+    );
   }
 
   /** Anti-entropy: exchanges the member records in which both tables differ. */
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -223,6 +223,8 @@
  */
 export interface DeltaRequest {
   readonly base: VersionNumber | null;
+  /** Whether the requester can read packed changes; older releases can't. */
+  readonly packed?: boolean | undefined;
 }
 
 /**
@@ -245,14 +247,25 @@
   readonly records: readonly MemberRecord[];
 }
 
+/** Changes that turn one version into a later one, compressed by `packChanges`. */
+export interface PackedDelta extends Omit<Delta, 'changes'> {
+  readonly packedChanges: Uint8Array;
+}
+
 /** A configuration change sent from one daemon to another. */
 export interface DeltaMessage {
-  readonly delta: Delta;
+  readonly delta: Delta | PackedDelta;
   readonly through: Offset;
   /** Daemon that pushes the changes; older releases leave it out. */
   readonly from?: DaemonId | undefined;
 }
 
+/**
+ * Result of changes from a peer: the version, or a newer one, is in force; it is invalid; or this daemon
+ * doesn't have the version that the changes apply to.
+ */
+export type DeltaOutcome = 'in force' | 'refused' | 'unknown base';
+
 /** Configuration version that this daemon has, and when it was last confirmed to be the newest. */
 export interface Knowledge {
   readonly version: VersionNumber | null;
@@ -301,16 +314,21 @@
    * @param head - Newest configuration version in the records read, if any.
    * @param through - Offset after the last record read.
    * @param confirmed - Whether the log held no further records at the time of the read.
+   * @returns Resolves once the head is in force.
+   * @throws InvalidHeadError - The head is invalid; the version before stays in force.
    */
-  applyLogHead(head: Head | undefined, through: Offset, confirmed: boolean): void;
+  applyLogHead(head: Head | undefined, through: Offset, confirmed: boolean): Promise<void>;
   /**
    * @param message - Changes from a peer.
    * @param peer - The peer, for the log; `undefined` if it isn't known.
-   * @returns Whether this daemon now has the version that results from the changes.
+   * @returns Resolves once the version that results from the changes is in force or can't be.
+   */
+  applyPeerDelta(message: DeltaMessage, peer: DaemonId | undefined): Promise<DeltaOutcome>;
+  /**
+   * @param request - Configuration version that the peer has, and whether it reads packed changes.
+   * @returns The changes; `undefined` if no version is in force.
    */
-  applyPeerDelta(message: DeltaMessage, peer: DaemonId | undefined): boolean;
-  /** @param base - Configuration version that the peer has; null if it has none. */
-  changesSince(base: VersionNumber | null): DeltaMessage | undefined;
+  changesSince(request: DeltaRequest): Promise<DeltaMessage | undefined>;
   /** @returns Whether the sender of this heartbeat has a newer version than this daemon. */
   isBehind(heartbeat: Heartbeat): boolean;
   /** The configuration version in force; `undefined` if there is none. */
--- a/src/connection/peerRouter.ts
+++ b/src/connection/peerRouter.ts
@@ -67,7 +67,7 @@
 
   function requestDelta(update: HeartbeatRequest): DeltaRequest | null {
     if (!heads.isBehind(update.beat) || !fetchLease.tryAcquire()) return null;
-    return { base: heads.knowledge.version };
+    return { base: heads.knowledge.version, packed: true };
   }
 
   return trpc.router({
@@ -80,10 +80,12 @@
     }),
 
     /** Receives the configuration changes that the reply to a heartbeat requested. */
-    deliver: trpc.procedure.input(deltaMessageSchema).mutation(({ input }): boolean => {
-      fetchLease.release();
-      return heads.applyPeerDelta(input, input.from);
-    }),
+    deliver: trpc.procedure
+      .input(deltaMessageSchema)
+      .mutation(async ({ input }): Promise<boolean> => {
+        fetchLease.release();
+        return (await heads.applyPeerDelta(input, input.from)) === 'in force';
+      }),
 
     /** Streams member changes and new versions to the peer that opened the connection. */
     updates: trpc.procedure.input(daemonIdSchema).subscription(async function* updates({
@@ -110,7 +112,7 @@
     changes: trpc.procedure
       .input(deltaRequestSchema)
       .query(({ input }): Promise<DeltaMessage | null> =>
-        services.queryQueue.add(() => heads.changesSince(input.base) ?? null),
+        services.queryQueue.add(async () => (await heads.changesSince(input)) ?? null),
       ),
 
     /** Anti-entropy: compares bucket digests and returns the records of differing buckets. */
