--- a/src/connection/PeerHeadTracker.ts
+++ b/src/connection/PeerHeadTracker.ts
@@ -3,6 +3,7 @@
 import type { Clock, DaemonId, Disposable, Logger, Offset, VersionNumber } from '../common/Types';
 import { applyChanges } from '../version/folder';
 import InvalidHeadError from '../version/InvalidHeadError';
+import { formatIssue } from '../version/validationIssues';
 import type { CurrentVersion, Delta, Folder, Head } from '../version/Types';
 import { packChanges, unpackChanges } from './packedChanges';
 import type {
@@ -197,6 +198,9 @@
       behindMs,
       tookMs: Math.round(this.clock.now() - startedAt),
     });
+    for (const issue of this.versions.snapshot?.leftOut ?? []) {
+      this.logger.log('A file of a version was left out.', { version, issue: formatIssue(issue) });
+    }
     return true;
   }
 
--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -26,6 +26,8 @@
   readonly registration: UpstreamRegistration;
   readonly meter: SocketMeter;
   readonly configuration: () => Configuration | undefined;
+  /** Number of faults that keep files out of the version in force. */
+  readonly leftOut: () => number;
   readonly clock: Clock;
 }
 
@@ -166,6 +168,8 @@
     if (unknownSchema !== undefined) {
       problems.push(`a record of schema ${unknownSchema} can't be read`);
     }
+    const { leftOut } = this.dependencies;
+    if (leftOut() > 0) problems.push(`${leftOut()} faults keep files out of the version in force`);
     if (heads.refusedHead) problems.push(heads.refusedHead.message);
     if (reading && failures > 0 && age !== null && age > settings.log.stale) {
       problems.push('reads of the log fail');
--- a/src/version/IndexedSnapshot.ts
+++ b/src/version/IndexedSnapshot.ts
@@ -1,5 +1,5 @@
 import RouteTable from './RouteTable';
-import type { Configuration, Head, Route, Snapshot } from './Types';
+import type { Configuration, Head, Route, Snapshot, ValidationIssue } from './Types';
 
 /** An immutable configuration version with an index of its routes. */
 export default class IndexedSnapshot implements Snapshot {
@@ -10,6 +10,7 @@
   public constructor(
     public readonly head: Head,
     public readonly configuration: Configuration,
+    public readonly leftOut: readonly ValidationIssue[],
   ) {
     const routes = [...configuration.routes.values()];
     this.routeTable = new RouteTable(routes);
--- a/src/version/Types.ts
+++ b/src/version/Types.ts
@@ -134,7 +134,12 @@
 
 /** Result of merging and validating a folder. */
 export type MergeResult =
-  | { readonly kind: 'valid'; readonly configuration: Configuration }
+  | {
+      readonly kind: 'valid';
+      readonly configuration: Configuration;
+      /** Issues of the files that were left out of the configuration. */
+      readonly leftOut: readonly ValidationIssue[];
+    }
   | { readonly kind: 'invalid'; readonly issues: readonly ValidationIssue[] };
 
 /** A change of the configuration folder, appended to the log by an operator. */
@@ -207,6 +212,8 @@
 export interface Snapshot {
   readonly head: Head;
   readonly configuration: Configuration;
+  /** Issues of the files that were left out of the configuration. */
+  readonly leftOut: readonly ValidationIssue[];
   /** Lowest latency objective of all routes, in milliseconds. */
   readonly shortestObjectiveMs: number;
   /**
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -13,13 +13,13 @@
 export const SCHEMA_NUMBER = 2;
 
 const MAX_SLOTS = 10_000;
-const MAX_CONNECTIONS = 10_000;
+export const MAX_CONNECTIONS = 10_000;
 const MAX_QUEUE = 100_000;
-const MAX_RETRIES = 20;
-const MAX_TIMEOUT_MS = 3_600_000;
-const MAX_PRIORITY = 100;
-const MAX_WEIGHT = 1_000_000;
-const MAX_LIMIT_BYTES = 1_073_741_824;
+export const MAX_RETRIES = 20;
+export const MAX_TIMEOUT_MS = 3_600_000;
+export const MAX_PRIORITY = 100;
+export const MAX_WEIGHT = 1_000_000;
+export const MAX_LIMIT_BYTES = 1_073_741_824;
 /** Numeric values of the named priorities of routes; queued calls with lower values run first. */
 const NAMED_PRIORITIES = { interactive: 0, background: 1 } as const;
 
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -335,6 +335,7 @@
   if (issues.length > 0) return { kind: 'invalid', issues };
   return {
     kind: 'valid',
+    leftOut: [],
     configuration: {
       services,
       routes: new Map(routes.map((route) => [route.name, route])),
