Convert only the routes that changed, each by itself, into the product's ranges

One route that could not be decoded made it ignore the whole configuration; numbers beyond the product's ranges, names in another form or two routes with one path made each daemon refuse it.

Change: ConfigurationDecoder keeps the files of known routes and converts in slices. A route that can't be decoded is left out with a line in the log. Attempts, durations, priorities, weights and limits beyond the product's ranges become the nearest ones that mean the same; names of routes, which no caller sees, get the product's form; services have a file each. On the platform versions come into force by mergeAccepted.

Result: 'an entry that this release cannot use leaves the rest of an accepted configuration in force' (before: ZodError, nothing in force) and 'of a configuration only the routes that changed are converted again'.

--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -41,6 +41,7 @@
 import PeerTransport from '../request/PeerTransport';
 import RetryAdvice from '../request/RetryAdvice';
 import RoutingTransport from '../request/RoutingTransport';
+import mergeAccepted from '../version/mergeAccepted';
 import { mergeSteps } from '../version/mergeFolder';
 import mergePublication from '../version/mergePublication';
 import VersionStore from '../version/VersionStore';
@@ -217,7 +218,7 @@
     reader_zones: readerZones,
     stale: staleMs,
   } = settings.log;
-  const store = resources.add(new PlatformStore(address, meter, logger('store')));
+  const store = resources.add(new PlatformStore(address, meter, logger('store'), clock));
   const watcher = resources.add(
     new ConfigurationWatcher(
       store,
@@ -242,7 +243,8 @@
 /** Creates the store of the configuration in force and the components that keep it current. */
 function wireConfiguration(core: Core, members: MemberTable) {
   const { settings, resources, clock, logger } = core;
-  const versions = resources.add(new VersionStore(mergeSteps, clock));
+  const merge = settings.log.kind === 'platform' ? mergeAccepted : mergeSteps;
+  const versions = resources.add(new VersionStore(merge, clock));
   const heads = resources.add(new PeerHeadTracker(versions, clock, logger('configuration')));
   const wireSource = settings.log.kind === 'platform' ? wirePlatform : wireStreams;
   return { versions, heads, source: wireSource(core, members, heads) };
@@ -536,6 +538,7 @@
     registration,
     meter,
     configuration: () => versions.snapshot?.configuration,
+    leftOut: () => versions.snapshot?.leftOut.length ?? 0,
     clock,
   });
   serveOperators(listeners.control, { inspection, metrics, registration });
