--- a/src/process/announcementSchema.ts
+++ b/src/process/announcementSchema.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod';
+import isAddress from '../common/isAddress';
 import type { Address, ServiceName } from '../common/Types';
 import type { Announcement } from './Types';
 
@@ -10,7 +11,7 @@
     .transform((value) => value as ServiceName),
   address: z
     .string()
-    .min(1)
+    .refine(isAddress)
     .transform((value) => value as Address),
   state: z.enum(['warming', 'serving', 'draining']),
   healthy: z.boolean().default(true),
