Ignore an announcement of an unknown service at another address

Shown by test/oddEntries: a heartbeat that names no known service, from another writer, replaced the registered upstream, which served nothing until its own next heartbeat.

Result: the last part of 'an odd heartbeat names no upstream; the registered one keeps serving' failed before. An unknown service at the registered address still takes over, as its test asks.

--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -124,7 +124,8 @@
   }
 
   /**
-   * Renews the lease of the upstream. Ignores announcements that are stale or of a process that has left.
+   * Renews the lease of the upstream. Ignores announcements that are stale, of a process that has left, or
+   * of an unknown service at another address than the registered upstream's, as of another writer.
    *
    * @param announcement - State that the upstream reports.
    */
@@ -139,6 +140,10 @@
       this.logIgnoredAnnouncement(announcement, 'that start of the upstream has left');
       return;
     }
+    if (before && this.registered?.upstream && this.isForeign(announcement, before)) {
+      this.logIgnoredAnnouncement(announcement, 'it names an unknown service at another address');
+      return;
+    }
     if (before && UpstreamRegistration.isNewUpstream(announcement, before)) this.removeUpstream();
     if (before?.state !== announcement.state || before?.instance !== instance) {
       this.logAnnouncement(announcement);
@@ -211,6 +216,16 @@
     for (const upstream of this.drainingUpstreams) upstream.dispose();
   }
 
+  /**
+   * Whether an announcement is neither from a service of the configuration in force nor from the address
+   * of the registered upstream, at which a service that is declared later may have started.
+   */
+  private isForeign({ service, address }: Announcement, registered: Announcement): boolean {
+    const isDeclared =
+      this.services.versions.snapshot?.configuration.services.has(service) ?? false;
+    return !isDeclared && address !== registered.address;
+  }
+
   private logAnnouncement(announcement: Announcement): void {
     const { service, address, state, instance, startedAt, sequence, slots } = announcement;
     this.services.logger.log('An upstream announced itself.', {
