Begin a call at a stopping daemon only if it certainly ends, where it would be lost otherwise

What operators reported: in a planned stop of one daemon, in calm, requests that came late in the grace were taken and passed on, and cut at its end, among them requests that may not be repeated (LOST).

Shown: a POST whose time reaches beyond the end of the stop was begun by its route's objective of 1 s (test/stop); so was a call of a route of which nothing is known, which counted as lasting 0 ms.

Cause: StopGuard judged each call by an estimate of its duration; rare calls last several times as long (a p99 of 4.2 s beside a grace of 6 s), and one cut call that may not be repeated is worse than any number of refused ones, which callers send elsewhere at once.

Change: a call that may not be repeated, that comes once callers have had the 'leave' time, or of whose route nothing is known is begun only if its whole time ends before the stop does.

--- a/src/process/Daemon.ts
+++ b/src/process/Daemon.ts
@@ -109,7 +109,7 @@
     const { openCalls, unsentAnswers } = calls;
     logger.log('Stops.', { openCalls, unsentAnswers, drainMs, leaveMs });
     readiness.stop();
-    calls.stop(deadline);
+    calls.stop(deadline, clock.now() + leaveMs);
     await sleep(UPSTREAM_SERVING_FRACTION * leaveMs);
     const drained = registration.drain();
     await sleep((1 - UPSTREAM_SERVING_FRACTION) * leaveMs);
--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -225,10 +225,10 @@
   ]) {
     test(`a stop ${stops} pipelined requests arrive: answered in request order, completed as ${order.join()}`, () =>
       withPipeline(async (pipeline) => {
-        if (stops === 'before') pipeline.calls.stop(UNREACHED_DEADLINE_MS);
+        if (stops === 'before') pipeline.calls.stop(UNREACHED_DEADLINE_MS, UNREACHED_DEADLINE_MS);
         const caller = await pipeline.connectCaller(get('/a') + get('/b'));
         await pipeline.waitUntilRunning('/a', '/b');
-        pipeline.calls.stop(UNREACHED_DEADLINE_MS);
+        pipeline.calls.stop(UNREACHED_DEADLINE_MS, UNREACHED_DEADLINE_MS);
         const answers = answersOf(caller);
         for (const path of order) pipeline.answer(path);
         assert.equal(await answers, ['200 OK: a', '200 OK: b, close']);
@@ -238,7 +238,7 @@
 
 test('a stop answers a request that arrives while the response before it is held back', () =>
   withPipeline(async (pipeline) => {
-    pipeline.calls.stop(UNREACHED_DEADLINE_MS);
+    pipeline.calls.stop(UNREACHED_DEADLINE_MS, UNREACHED_DEADLINE_MS);
     const caller = await pipeline.connectCaller(get('/a') + get('/b'));
     await pipeline.waitUntilRunning('/a', '/b');
     pipeline.answer('/b');
@@ -252,7 +252,7 @@
 
 test('a request that arrives after a response head with connection: close is not started', () =>
   withPipeline(async (pipeline) => {
-    pipeline.calls.stop(UNREACHED_DEADLINE_MS);
+    pipeline.calls.stop(UNREACHED_DEADLINE_MS, UNREACHED_DEADLINE_MS);
     const caller = await pipeline.connectCaller(get('/a'));
     await pipeline.waitUntilRunning('/a');
     const answer = pipeline.startAnswer('/a', 2);
@@ -473,7 +473,7 @@
 
 test('a stop waits until the caller has read its response', () =>
   withPipeline(async (pipeline) => {
-    pipeline.calls.stop(UNREACHED_DEADLINE_MS);
+    pipeline.calls.stop(UNREACHED_DEADLINE_MS, UNREACHED_DEADLINE_MS);
     const caller = await pausedCaller(pipeline);
     let idle = false;
     const whenIdle = pipeline.calls.whenIdle().then(() => {
@@ -487,7 +487,7 @@
 
 test('a stop does not truncate a response that the caller is still reading', () =>
   withPipeline(async (pipeline) => {
-    pipeline.calls.stop(UNREACHED_DEADLINE_MS);
+    pipeline.calls.stop(UNREACHED_DEADLINE_MS, UNREACHED_DEADLINE_MS);
     const caller = await pausedCaller(pipeline);
     pipeline.listener.stopAccepting();
     const bytes = await receivedBytes(caller);
@@ -496,7 +496,7 @@
 
 test('a request that arrives behind a closing response does not truncate that response', () =>
   withPipeline(async (pipeline) => {
-    pipeline.calls.stop(UNREACHED_DEADLINE_MS);
+    pipeline.calls.stop(UNREACHED_DEADLINE_MS, UNREACHED_DEADLINE_MS);
     const caller = await pipeline.connectCaller(get('/a'));
     await pipeline.waitUntilRunning('/a');
     caller.pause();
@@ -539,7 +539,7 @@
       'the first part of the head arrives',
       () => (pipeline.accepted[2]?.bytesRead ?? 0) > 0,
     );
-    pipeline.calls.stop(UNREACHED_DEADLINE_MS);
+    pipeline.calls.stop(UNREACHED_DEADLINE_MS, UNREACHED_DEADLINE_MS);
     pipeline.listener.stopAccepting();
     await once(idle, 'close');
     partial.write('Host: mesh\r\n\r\n');
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -29,6 +29,7 @@
 } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
 import clampTimerDelay from './clampTimerDelay';
+import isIdempotent from './isIdempotent';
 
 /**
  * Maximum number of attempts, summed over the calls of a call chain; further calls of the chain are
@@ -137,9 +138,10 @@
    * until then are served if they can finish in time.
    *
    * @param endsAt - Monotonic time in milliseconds at which calls still in progress are failed.
+   * @param callersLeftAt - Monotonic time in ms at which callers have had time to switch to others.
    */
-  public stop(endsAt: number): void {
-    this.stopGuard.stop(endsAt);
+  public stop(endsAt: number, callersLeftAt: number): void {
+    this.stopGuard.stop(endsAt, callersLeftAt);
   }
 
   /** Fails every call that waits for its response, with an unknown outcome. */
@@ -286,7 +288,8 @@
     }
     if (attempts > MAX_CHAIN_ATTEMPTS) throw new NotRunError('the call made too many attempts');
     const deadline = arrivedAt + allowedMs;
-    if (this.stopGuard.shouldRefuse(policy.route, deadline)) {
+    const idempotent = isIdempotent(policy.route, request.method);
+    if (this.stopGuard.shouldRefuse(policy.route, { deadline, idempotent })) {
       throw new NotRunError('this daemon may end before the call does', { daemonNotReady: true });
     }
     const leftMs = deadline - clock.now();
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -116,6 +116,57 @@
   }
 });
 
+test('a stopping daemon refuses a call that may not be repeated and may outlast it', async () => {
+  const fleet = new Fleet();
+  try {
+    await fleet.startLog();
+    const [daemon] = await startDaemons(fleet, ['coq']);
+    const stopping = await fleet.startDaemon({
+      name: 'stopping',
+      zone: 'coq',
+      extra: { daemon: 'leave = "60s"\ndrain = "90s"' },
+    });
+    const upstream = await fleet.startUpstream('stock', daemon!);
+    const folder = fleet.tempPath('folder');
+    mkdirSync(folder);
+    const service = '[service.stock]\nslots = 18\nconnections = 120\n';
+    const route = '[route.stock]\nservice = "stock"\npath = "/stock"\nobjective = "1s"\n';
+    writeFileSync(`${folder}/10.toml`, `${service}${route}timeout = "10m"\n`);
+    await fleet.runCommand(['publish', folder, '--log', fleet.logAddress]);
+    const call = (method: string, id: string, deadlineMs: number) =>
+      fetch(`http://${stopping.ready.listening.calls}/stock/x`, {
+        method,
+        headers: { 'x-call-id': id, 'x-azurestream-deadline-ms': String(deadlineMs) },
+      });
+    await eventually(
+      'a call is answered',
+      async () => (await call('GET', 'before', 60_000)).status === 200,
+    );
+    stopping.child.kill('SIGTERM');
+    await eventually(
+      'the stopping daemon closes connections of callers',
+      async () => (await call('GET', 'stopping', 5_000)).headers.get('connection') === 'close',
+    );
+    const answers = [
+      await call('POST', 'outlasts', 600_000),
+      await call('POST', 'ends', 5_000),
+      await call('GET', 'repeatable', 600_000),
+    ];
+    assert.equal(
+      answers.map(({ status, headers }) => [status, headers.get('x-azurestream-outcome')]),
+      [
+        [503, 'not-run'],
+        [200, 'answered'],
+        [200, 'answered'],
+      ],
+    );
+    const ran = (await fetchLedger(upstream.ready.port)).map(({ id }) => id);
+    assert.equal([ran.includes('outlasts'), ran.includes('ends')], [false, true]);
+  } finally {
+    await fleet.dispose();
+  }
+});
+
 test('a stopping daemon answers pipelined requests in order and closes the connection', async () => {
   const fleet = new Fleet();
   try {
