Pass over an odd member record, with a line in the log

Cause: a message of peers was validated as a whole, so that one record with a field out of range ended the link to whoever sent it, again and again; a port of 99999 was taken, and connecting to it throws at once. Answers to own questions weren't validated at all. An incarnation near 2^53 can't be refuted by a higher one.

Change: Gossip validates each record that it receives, whichever way it came; addresses must be ones that can be connected to, and counters leave room to be raised.

--- a/src/connection/Gossip.ts
+++ b/src/connection/Gossip.ts
@@ -1,5 +1,6 @@
-import type { Clock, DaemonId, Disposable, VersionNumber } from '../common/Types';
+import type { Clock, DaemonId, Disposable, Logger, VersionNumber } from '../common/Types';
 import GossipMeter from './GossipMeter';
+import { memberSchema } from './messageSchema';
 import Outbox from './Outbox';
 import type { Heartbeat, HeadTracker, Membership, MemberRecord } from './Types';
 
@@ -30,6 +31,7 @@
     private readonly members: Membership,
     private readonly heads: HeadTracker,
     private readonly clock: Clock,
+    private readonly logger: Logger,
   ) {
     this.subscriptions = [
       members.onChange((records) => this.enqueueRecords(records)),
@@ -61,11 +63,13 @@
 
   /**
    * Merges member records from a peer, and removes the same records from the outboxes to that peer.
+   * Each record is validated by itself, so that an odd one doesn't hide the others.
    *
-   * @param records - Member records.
+   * @param received - Member records, not validated yet.
    * @param source - Id of the sender.
    */
-  public receive(records: readonly MemberRecord[], source: DaemonId): void {
+  public receive(received: readonly unknown[], source: DaemonId): void {
+    const records = received.flatMap((record) => this.validate(record, source));
     const changed = this.members.merge(records);
     this.meter.add('recordsReceived', records.length);
     this.meter.add('recordsNews', changed.length);
@@ -87,6 +91,18 @@
     this.outboxes.clear();
   }
 
+  private validate(record: unknown, source: DaemonId): MemberRecord[] {
+    const result = memberSchema.safeParse(record);
+    if (result.success) return [result.data];
+    const { path, message: reason } = result.error.issues[0]!;
+    this.logger.log('Ignored a member record that failed validation.', {
+      peer: source,
+      key: path.join('.'),
+      reason,
+    });
+    return [];
+  }
+
   private enqueueRecords(records: readonly MemberRecord[]): void {
     for (const outbox of this.outboxes) outbox.enqueue(records);
   }
--- a/src/connection/messageSchema.ts
+++ b/src/connection/messageSchema.ts
@@ -14,18 +14,14 @@
   VersionNumber,
   ZoneName,
 } from '../common/Types';
+import isAddress from '../common/isAddress';
 import { deltaFieldsSchema, deltaSchema } from '../version/recordSchema';
-import type {
-  Heartbeat,
-  HeartbeatRequest,
-  DeltaMessage,
-  MemberRecord,
-  PackedDelta,
-  SyncRequest,
-} from './Types';
+import type { Heartbeat, DeltaMessage, MemberRecord, PackedDelta, SyncRequest } from './Types';
 
 const MAX_RECORDS_PER_MESSAGE = 20_000;
 const MAX_BUCKETS = 256;
+/** Upper bound of the counters in a member record, so that they can still be incremented. */
+const MAX_COUNTER = 2 ** 48;
 
 const brand =
   <Brand>() =>
@@ -36,6 +32,7 @@
 
 const daemonId = textSchema<DaemonId>();
 const incarnation = countSchema<Incarnation>();
+const address = z.string().max(255).refine(isAddress).transform(brand<Address>());
 
 /** Schema of a daemon id. */
 export const daemonIdSchema: z.ZodType<DaemonId> = daemonId;
@@ -43,11 +40,11 @@
 /** Schema of a {@link MemberRecord}. */
 export const memberSchema: z.ZodType<MemberRecord> = z.object({
   id: daemonId,
-  incarnation,
-  sequence: z.int().min(0),
+  incarnation: z.int().min(0).max(MAX_COUNTER).transform(brand<Incarnation>()),
+  sequence: z.int().min(0).max(MAX_COUNTER),
   zone: textSchema<ZoneName>(),
-  address: textSchema<Address>(),
-  control: textSchema<Address>(),
+  address,
+  control: address,
   service: textSchema<ServiceName>().nullable(),
   state: z.enum(['none', 'warming', 'serving', 'draining', 'gone']),
   healthHint: z.boolean(),
@@ -66,9 +63,9 @@
   members: z.string(),
 });
 
-/** Schema of a {@link HeartbeatRequest}. */
-export const heartbeatRequestSchema: z.ZodType<HeartbeatRequest> = z.object({
-  records: z.array(memberSchema).max(MAX_RECORDS_PER_MESSAGE),
+/** Schema of a {@link HeartbeatRequest}; the receiver validates each record by itself. */
+export const heartbeatRequestSchema = z.object({
+  records: z.array(z.unknown()).max(MAX_RECORDS_PER_MESSAGE).readonly(),
   beat: heartbeatSchema,
 });
 
@@ -106,4 +103,4 @@
 });
 
 /** Schema of an indirect probe: the member that the receiver should probe. */
-export const probeRequestSchema = z.object({ id: daemonId, address: textSchema<Address>() });
+export const probeRequestSchema = z.object({ id: daemonId, address });
--- a/src/connection/peerRouter.ts
+++ b/src/connection/peerRouter.ts
@@ -19,8 +19,8 @@
   deltaRequestSchema,
 } from './messageSchema';
 import type {
+  Heartbeat,
   HeartbeatReply,
-  HeartbeatRequest,
   DeltaMessage,
   HeadTracker,
   Membership,
@@ -65,8 +65,8 @@
 export function createPeerRouter(services: PeerServices) {
   const { members, heads, gossip, fetchLease } = services;
 
-  function requestDelta(update: HeartbeatRequest): DeltaRequest | null {
-    if (!heads.isBehind(update.beat) || !fetchLease.tryAcquire()) return null;
+  function requestDelta(beat: Heartbeat): DeltaRequest | null {
+    if (!heads.isBehind(beat) || !fetchLease.tryAcquire()) return null;
     return { base: heads.offer.version, packed: true };
   }
 
@@ -76,7 +76,7 @@
       gossip.receive(input.records, input.beat.from);
       gossip.recordPeerVersion(input.beat);
       heads.observeHeartbeat(input.beat);
-      return { beat: gossip.createHeartbeat(), wanted: requestDelta(input) };
+      return { beat: gossip.createHeartbeat(), wanted: requestDelta(input.beat) };
     }),
 
     /** Receives the configuration changes that the reply to a heartbeat requested. */
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -255,7 +255,7 @@
 /** Creates the links to other daemons and the discovery of the first peers. */
 function wirePeers(core: Core, members: MemberTable, { heads, source }: ConfigurationComponents) {
   const { settings, resources, clock, random, meter, logger } = core;
-  const gossip = resources.add(new Gossip(members, heads, clock));
+  const gossip = resources.add(new Gossip(members, heads, clock, logger('peer')));
   const fetchLease = new FetchLease(clock);
   const peerClient = new PeerClient(meter);
   const heartbeatIntervalMs = settings.peers.heartbeat;
