Time a read of the log by its progress, too

The same cause looked for elsewhere: a read of the log had 5 s for all of its records, up to 500 of 1 MiB each; an unexpected body of an expired read threw an error that ends the reader's task.

Result: HttpLog.test, both cases failed before ('read failed: 20', a ZodError).

--- a/src/connection/HttpLog.ts
+++ b/src/connection/HttpLog.ts
@@ -1,7 +1,7 @@
+import { json } from 'node:stream/consumers';
 import { Agent, request } from 'undici';
 import * as z from 'zod';
 import type { Address, Disposable, Offset } from '../common/Types';
-import withLinkedSignal from '../common/withLinkedSignal';
 import LogExpiredError from './LogExpiredError';
 import LogRefusedError from './LogRefusedError';
 import LogUnavailableError from './LogUnavailableError';
@@ -9,7 +9,9 @@
 import meteredConnector from './meteredConnector';
 import type SocketMeter from './SocketMeter';
 import type { Log, LogBatch, LogBounds, StreamName } from './Types';
+import withStallAwareTimeout from './withStallAwareTimeout';
 
+/** Longest wait for the next part of a response, in ms; a batch of records may take longer as a whole. */
 const RESPONSE_TIMEOUT_MS = 5_000;
 /** Error codes of failed connection attempts, after which no request was sent. */
 const NOT_SENT_ERROR_CODES = new Set([
@@ -98,7 +100,8 @@
       waitMs + RESPONSE_TIMEOUT_MS,
       signal,
     );
-    if (status === 410) throw new LogExpiredError(expiredSchema.parse(body).earliest);
+    const expired = status === 410 ? expiredSchema.safeParse(body) : undefined;
+    if (expired?.success) throw new LogExpiredError(expired.data.earliest);
     const batch = batchSchema.safeParse(body);
     if (!batch.success) throw new LogUnavailableError(`read answered with status ${status}`);
     return batch.data;
@@ -129,14 +132,15 @@
 
   private exchange(exchange: LogRequest): Promise<LogResponse> {
     const parents = exchange.signal ? [exchange.signal] : [];
-    return withLinkedSignal(parents, exchange.timeoutMs, async (signal) => {
+    return withStallAwareTimeout(parents, exchange.timeoutMs, async (signal, onProgress) => {
       const { statusCode, body } = await request(`http://${this.address}${exchange.path}`, {
         method: exchange.method,
         body: exchange.body,
         dispatcher: this.agent,
         signal,
       });
-      return { status: statusCode, body: await body.json() };
+      body.on('data', onProgress);
+      return { status: statusCode, body: await json(body) };
     });
   }
 }
