--- a/test/largeConfigurations.test.ts
+++ b/test/largeConfigurations.test.ts
@@ -3,6 +3,8 @@
 import Fleet, { eventually } from '../stand-in/Fleet';
 import PlatformStoreServer from '../stand-in/PlatformStoreServer';
 import {
+  operatorConfiguration,
+  OPERATOR_HOST,
   SHORT_PERIODS,
   versionInForce,
   waitUntilAllAlive,
@@ -13,44 +15,6 @@
 const ZONES = ['coq', 'coq', 'rogers', 'rogers', 'pine', 'pine'];
 /** Zones whose first daemon reads the store; the daemons of the others learn from their peers. */
 const READER_ZONES = 2;
-const HOST = 'hulo84.example';
-
-/**
- * An operator's configuration of one service and many routes.
- *
- * @param version - Its version number.
- * @param routes - Number of routes; the path of the last is `/route-<routes - 1>/`.
- * @param timeoutSeconds - Time-out of the first route.
- */
-function operatorConfiguration(version: number, routes: number, timeoutSeconds = 2): string {
-  return JSON.stringify({
-    version,
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 67_108_864,
-      header_timeout_s: 3,
-      idle_timeout_s: 15,
-    },
-    listeners: [
-      {
-        host: HOST,
-        rules: Array.from({ length: routes }, (_, index) => ({
-          name: `r-${index}`,
-          kind: 'safe',
-          target_latency_s: 0.4,
-          priority: 1,
-          match: { path_prefix: `/route-${index}/` },
-          action: {
-            service: 'stock',
-            timeout_s: index === 0 ? timeoutSeconds : 2,
-            max_attempts: 2,
-          },
-        })),
-      },
-    ],
-    clusters: [{ name: 'stock', health_path: '/health', max_conns: 120 }],
-  });
-}
 
 /** Settings of a daemon that takes its configuration from the platform's store. */
 const PLATFORM_SETTINGS = {
@@ -76,7 +40,7 @@
 
 /** Returns the route that a daemon would choose for a path, as `explain` reports it. */
 async function routeAt(daemon: DaemonProcess, path: string): Promise<string | undefined> {
-  const query = new URLSearchParams({ method: 'GET', host: HOST, path });
+  const query = new URLSearchParams({ method: 'GET', host: OPERATOR_HOST, path });
   const answer = await fetch(`http://${daemon.ready.listening.control}/explain?${query}`);
   return ((await answer.json()) as { route: { name: string } | null }).route?.name;
 }
--- a/test/oddEntries.test.ts
+++ b/test/oddEntries.test.ts
@@ -5,7 +5,12 @@
 import * as assert from 'uvu/assert';
 import Fleet, { eventually } from '../stand-in/Fleet';
 import PlatformStoreServer from '../stand-in/PlatformStoreServer';
-import { SHORT_PERIODS, waitUntilInForce, type DaemonProcess } from './support';
+import {
+  operatorConfiguration,
+  SHORT_PERIODS,
+  waitUntilInForce,
+  type DaemonProcess,
+} from './support';
 
 const CONTACTS_TOPIC = 'keyed.azurestream-contacts';
 const DEPTH = 200_000;
@@ -23,34 +28,6 @@
   '__proto__:80',
 ];
 
-function configuration(version: number): string {
-  return JSON.stringify({
-    version,
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 67_108_864,
-      header_timeout_s: 3,
-      idle_timeout_s: 15,
-    },
-    listeners: [
-      {
-        host: 'hulo84.example',
-        rules: [
-          {
-            name: 'r',
-            kind: 'safe',
-            target_latency_s: 0.4,
-            priority: 1,
-            match: { path_prefix: '/stock/' },
-            action: { service: 'stock', timeout_s: 2, max_attempts: 2 },
-          },
-        ],
-      },
-    ],
-    clusters: [{ name: 'stock', max_conns: 120 }],
-  });
-}
-
 /** A heartbeat of the upstream at an address, with fields replaced. */
 function heartbeat(address: string, changes: Readonly<Record<string, unknown>> = {}): string {
   return JSON.stringify({
@@ -101,7 +78,7 @@
   const store = new PlatformStoreServer();
   try {
     fleet.useLog(await store.listen());
-    store.put(configuration(1));
+    store.put(operatorConfiguration(1, 1));
     const ports = [await freePort(), await freePort()];
     const announcements = ports.map((port) => `127.0.0.1:${port}`);
     const daemons = await Promise.all(
@@ -119,7 +96,7 @@
     );
     await waitUntilInForce(1, daemons);
     await run(store, daemons, announcements);
-    store.put(configuration(7));
+    store.put(operatorConfiguration(7, 1));
     await waitUntilInForce(7, daemons);
     assert.equal(
       daemons.map(({ child }) => child.exitCode),
@@ -197,7 +174,7 @@
     for (const [key, value] of contacts) store.put(value, CONTACTS_TOPIC, key);
     // Daemons look through the contacts several times in this many versions.
     for (let version = 2; version < 6; version += 1) {
-      store.put(configuration(version));
+      store.put(operatorConfiguration(version, 1));
       await waitUntilInForce(version, daemons);
       await delay(1_500);
     }
@@ -206,7 +183,7 @@
 
 test('an odd record of the operator changes nothing, and the next version comes into force', async () => {
   await withDaemons(async (store, daemons) => {
-    store.put(configuration(2));
+    store.put(operatorConfiguration(2, 1));
     for (const value of [DEEP, 'null', '{"version":1e999}', 'no JSON', '']) store.put(value);
     await waitUntilInForce(2, daemons);
   });
--- a/test/support.ts
+++ b/test/support.ts
@@ -43,6 +43,47 @@
   upstream: 'lease = "3s"',
 };
 
+/** Host name of the routes in {@link operatorConfiguration}. */
+export const OPERATOR_HOST = 'hulo84.example';
+
+/**
+ * Builds a configuration as an operator of the platform writes it: one service and its routes.
+ *
+ * @param version - Its version number.
+ * @param routes - Number of routes; the path of the last is `/route-<routes - 1>/`.
+ * @param timeoutSeconds - Time-out of the first route.
+ * @returns JSON text, the value of the record in the store.
+ */
+export function operatorConfiguration(version: number, routes: number, timeoutSeconds = 2): string {
+  return JSON.stringify({
+    version,
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 67_108_864,
+      header_timeout_s: 3,
+      idle_timeout_s: 15,
+    },
+    listeners: [
+      {
+        host: OPERATOR_HOST,
+        rules: Array.from({ length: routes }, (_, index) => ({
+          name: `r-${index}`,
+          kind: 'safe',
+          target_latency_s: 0.4,
+          priority: 1,
+          match: { path_prefix: `/route-${index}/` },
+          action: {
+            service: 'stock',
+            timeout_s: index === 0 ? timeoutSeconds : 2,
+            max_attempts: 2,
+          },
+        })),
+      },
+    ],
+    clusters: [{ name: 'stock', health_path: '/health', max_conns: 120 }],
+  });
+}
+
 /**
  * Builds a configuration folder that declares each service with one route to it.
  *
