Let the daemon with the fastest link of a zone read the store

Cause: the daemons that read the store were chosen by a hash of their names. Eight VMs of the site have twenty times the link and five times the processor.

Change: settings tell a daemon its link (daemon.link_mbps, from the platform's settings), its member record tells the others, and MemberRank puts faster links first within a zone. A daemon of an older release leaves the field out and drops it when it passes the record on: views may differ then, which costs further reads, but the first by the true order always sees itself as first.

Result: 'the member with the fastest link of its zone comes first, and the others if it is lost' failed before.

--- a/src/connection/MemberRank.test.ts
+++ b/src/connection/MemberRank.test.ts
@@ -43,6 +43,31 @@
   );
 });
 
+test('the member with the fastest link of its zone comes first, and the others if it is lost', () => {
+  const fast = new Map([
+    ['coq-1', 70],
+    ['coq-3', 7],
+    ['pine-4', 7],
+  ]);
+  const membersOf = (lost: string) =>
+    MEMBERS.filter(({ id }) => id !== lost).map((member) => ({
+      ...member,
+      linkMbps: fast.get(member.id),
+    }));
+  const firstOf = (zone: string, lost = '') => {
+    const live = membersOf(lost);
+    const holders = live.filter((self) => {
+      const membership = { self, live: () => live, onChange: () => ({ dispose: () => undefined }) };
+      return new MemberRank(membership as unknown as Membership, 'log-reader').value === 0;
+    });
+    return holders.filter((member) => member.zone === zone).map(({ id }) => id);
+  };
+  assert.equal(
+    [firstOf('coq'), firstOf('coq', 'coq-1'), firstOf('pine'), firstOf('kootenay').length],
+    [['coq-1'], ['coq-3'], ['pine-4'], 1],
+  );
+});
+
 test('when a whole zone is lost, the next zone takes its place', () => {
   const before = ranks(() => true).filter(({ rank }) => rank.isFirstOfFleet);
   const lostZone = before[0]!.zone;
--- a/src/connection/MemberRank.ts
+++ b/src/connection/MemberRank.ts
@@ -11,9 +11,11 @@
 }
 
 /**
- * Rank of this daemon for one role by rendezvous hashing, among the members that are alive and can read
- * the log; 0 is first. A role for a few daemons of the whole fleet goes to the first members of the first
- * zones, so that its holders are in different zones.
+ * Rank of this daemon for one role, among the members that are alive and can read the log; 0 is first.
+ * Within a zone the faster link comes first, as a whole configuration takes a second on a slow one
+ * before any daemon has it; members with equal links are ranked by rendezvous hashing. A role for a few
+ * daemons of the whole fleet goes to the first members of the first zones, so that its holders are in
+ * different zones.
  */
 export default class MemberRank implements Disposable {
   private cachedRanks: Ranks | undefined;
@@ -66,7 +68,11 @@
       .live()
       .filter(({ id, health, readsLog }) => id !== self.id && health === 'alive' && readsLog);
     const own = this.weight(self.id);
-    const inZone = others.filter(({ id, zone }) => zone === self.zone && this.weight(id) > own);
+    const ownLink = self.linkMbps ?? 0;
+    const inZone = others.filter(({ id, zone, linkMbps: link = 0 }) => {
+      if (zone !== self.zone) return false;
+      return link === ownLink ? this.weight(id) > own : link > ownLink;
+    });
     const ownZone = this.weight(self.zone);
     const zones = new Set<ZoneName>(others.map(({ zone }) => zone));
     const ahead = [...zones].filter((zone) => this.weight(zone) > ownZone);
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -179,6 +179,8 @@
   readonly slots: number | null;
   /** Whether the daemon's reads of the log currently succeed. */
   readonly readsLog: boolean;
+  /** Bandwidth of the VM's link in Mbit/s; `undefined` if its settings don't tell. */
+  readonly linkMbps?: number | undefined;
   readonly health: MemberHealth;
 }
 
--- a/src/connection/messageSchema.ts
+++ b/src/connection/messageSchema.ts
@@ -50,6 +50,7 @@
   healthHint: z.boolean(),
   slots: z.int().min(1).nullable(),
   readsLog: z.boolean(),
+  linkMbps: z.number().positive().optional(),
   health: z.enum(['alive', 'suspect', 'dead']),
 });
 
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -16,6 +16,7 @@
 const MEBIBYTE = 1024 * 1024;
 const MAX_SLACK = 1_000_000;
 const SLACK_EXPECTED = `a number from 0 to ${MAX_SLACK}`;
+const LINK_EXPECTED = 'a number of Mbit/s above 0';
 const RATIO_EXPECTED = 'a number from 0 to 1';
 
 const address = z
@@ -48,6 +49,7 @@
     service: name.transform((value) => value as ServiceName).optional(),
     drain: duration('30s'),
     leave: duration('500ms'),
+    link_mbps: z.number({ error: LINK_EXPECTED }).positive({ error: LINK_EXPECTED }).optional(),
   }),
   log: z.strictObject({
     address,
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -126,6 +126,7 @@
     healthHint: true,
     slots: null,
     readsLog: true,
+    linkMbps: own.link_mbps,
     health: 'alive',
   };
   const timeouts = {
