Take several files or entries in a step of validation

Cause: a step for each file or entry passes through two levels of generators, about 2 us each time without optimized code; for 3,200 routes that was a quarter of the validation.

--- a/src/common/runInSlices.ts
+++ b/src/common/runInSlices.ts
@@ -3,8 +3,6 @@
 
 /** Time in ms for which work runs before calls and timers get their turn of the event loop. */
 const SLICE_MS = 8;
-/** Number of steps between two looks at the clock, which cost more than a step. */
-const STEPS_PER_LOOK = 8;
 
 /**
  * Runs long work without holding up the event loop: after each slice, whatever else has come up runs
@@ -19,10 +17,10 @@
   clock: Clock,
 ): Promise<Result> {
   let sliceEndsAt = clock.now() + SLICE_MS;
-  for (let count = 1; ; count += 1) {
+  for (;;) {
     const { done, value } = steps.next();
     if (done) return value;
-    if (count % STEPS_PER_LOOK === 0 && clock.now() >= sliceEndsAt) {
+    if (clock.now() >= sliceEndsAt) {
       await waitEventLoopTurns(1);
       sliceEndsAt = clock.now() + SLICE_MS;
     }
--- a/src/version/folder.ts
+++ b/src/version/folder.ts
@@ -5,12 +5,13 @@
  */
 import { createHash } from 'node:crypto';
 import compareBytes from '../common/compareBytes';
+import inSteps from '../common/inSteps';
 import runAtOnce from '../common/runAtOnce';
 import type { Digest, FileName, Steps } from '../common/Types';
 import type { FileChange, Folder, FolderFile } from './Types';
 
 /**
- * Computes the digest of a folder in steps of one file.
+ * Computes the digest of a folder in steps of some files.
  *
  * @param folder - Files in name order; another order gives another digest.
  * @returns SHA-256 of a canonical JSON encoding, in hexadecimal.
@@ -18,11 +19,10 @@
 export function* digestSteps(folder: Folder): Steps<Digest> {
   const hash = createHash('sha256').update('[');
   let separator = '';
-  for (const { name, content } of folder) {
+  yield* inSteps(folder, ({ name, content }) => {
     hash.update(`${separator}${JSON.stringify([name, content])}`);
     separator = ',';
-    yield;
-  }
+  });
   return hash.update(']').digest('hex') as Digest;
 }
 
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -5,6 +5,7 @@
  */
 import { parse, TomlError } from 'smol-toml';
 import type * as z from 'zod';
+import inSteps from '../common/inSteps';
 import runAtOnce from '../common/runAtOnce';
 import type { FileName, RouteName, ServiceName, Steps } from '../common/Types';
 import {
@@ -141,7 +142,7 @@
   issues: ValidationIssue[],
 ): Steps<Map<string, z.output<Schema>>> {
   const parsed = new Map<string, z.output<Schema>>();
-  for (const [name, { value, file }] of section) {
+  yield* inSteps(section, ([name, { value, file }]) => {
     const table = `${kind}.${name}`;
     const source = { file: file.name, content: file.content, table };
     if (!NAME.test(name)) {
@@ -150,8 +151,7 @@
     const result = validate(schema, value);
     if (result.success) parsed.set(name, result.data);
     else issues.push(...schemaIssues(result.error, value, source));
-    yield;
-  }
+  });
   return parsed;
 }
 
@@ -270,7 +270,7 @@
 ): Steps<ValidationIssue[]> {
   const issues: ValidationIssue[] = [];
   const routesByPath = new Map<string, Route[]>();
-  for (const route of routes) {
+  yield* inSteps(routes, (route) => {
     issues.push(...targetIssues(sections, services, route));
     const hostAndPath = `${route.host ?? ''}${route.path}`;
     const samePath = routesByPath.get(hostAndPath) ?? [];
@@ -286,8 +286,7 @@
       );
     }
     routesByPath.set(hostAndPath, [...samePath, route]);
-    yield;
-  }
+  });
   return issues;
 }
 
@@ -302,7 +301,7 @@
 }
 
 /**
- * Merges and validates a folder as {@link mergeFolder} does, in steps of one file or entry.
+ * Merges and validates a folder as {@link mergeFolder} does, in steps of some files or entries.
  *
  * @param folder - Files in name order.
  * @returns The merged configuration, or all validation issues.
@@ -315,10 +314,7 @@
     limits: new Map(),
   };
   const issues: ValidationIssue[] = [];
-  for (const file of folder) {
-    issues.push(...collectEntries(file, sections));
-    yield;
-  }
+  yield* inSteps(folder, (file) => issues.push(...collectEntries(file, sections)));
   const defaults = parseDefaults(sections.defaults, issues);
   const limits = parseLimits(sections.limits, issues);
   const parsedServices = yield* parseEntries('service', sections.service, serviceSchema, issues);
