Keep the offset with the version in force while a newer one is validated

Cause: since versions are offered before they are validated, a version read from the log can be replaced by a newer one before it comes into force. The offset behind it was recorded all the same, beside the version before it. A checkpoint holds both, and would have said that an accepted version isn't there. The same for a version that was refused; and it counted as confirmed.

Result: 'the offset goes with the version in force, whatever else was read or refused' failed before (offset 5 beside version 3).

--- a/src/connection/PeerHeadTracker.test.ts
+++ b/src/connection/PeerHeadTracker.test.ts
@@ -124,6 +124,22 @@
   assert.equal(offers, ['4 while 2', '6 while 4']);
 });
 
+test('the offset goes with the version in force, whatever else was read or refused', async () => {
+  const { tracker } = createTracker();
+  await tracker.applyLogHead(head(2, 1), 3 as Offset, true);
+  const { confirmedAt } = tracker.knowledge;
+  // The second of these is replaced by the third before it is validated.
+  const reads = [3, 4, 6].map((version) =>
+    tracker.applyLogHead(head(version, version), (version + 1) as Offset, true),
+  );
+  const known = await reads[1]!.then(() => tracker.knowledge);
+  assert.is(known.through, known.version! + 1);
+  await Promise.all(reads);
+  assert.equal(tracker.knowledge, { version: 6, through: 7, confirmedAt });
+  await tracker.applyLogHead(head(8, -1), 9 as Offset, true);
+  assert.equal(tracker.knowledge, { version: 6, through: 7, confirmedAt });
+});
+
 test('a version whose changes are being unpacked is not fetched again', async () => {
   const { tracker } = createTracker();
   assert.is(tracker.isBehind(heartbeat(3)), true);
--- a/src/connection/PeerHeadTracker.ts
+++ b/src/connection/PeerHeadTracker.ts
@@ -48,7 +48,7 @@
   /** Monotonic time in ms at which a version newer than the one in force was first heard of. */
   private behindSince: number | undefined;
 
-  /** Packed changes to the version in force, by the version that they apply to. */
+  /** Packed changes to the newest version received, by the version that they apply to. */
   private readonly packedDeltas = new Map<VersionNumber | null, Promise<PackedDelta>>();
 
   private readonly advanceEmitter = new Emitter<Offer>();
@@ -131,6 +131,9 @@
       this.receive(head, through);
       await this.validate(head, 'store', through);
     }
+    // The head may have been refused, or replaced by a newer one that is still being validated. The
+    // offset and the confirmation belong to the version in force: a checkpoint holds both.
+    if (head && head.version > (this.version ?? -1)) return;
     if (through > this.through) this.through = through;
     if (this.offer.version === this.version) this.offeredThrough = this.through;
     if (confirmed) this.confirm(readAt);
