review: machines that keep their power stay on an older configuration

Cause: at most three machines read the store, and the others wait for the time-outs of their links before they read it themselves. When the readers lose power together with others, that takes longer than the 2 s within which a version has to be in force.

The script replaces the one with a single zone: seven of twelve machines in four zones lose power for 5 s, the readers among them, and a route moves to another service 0.2 s later. Rule CONFIG: machines that weren't touched run unsafe orders at the old service.

--- a/review/4/play.mjs
+++ b/review/4/play.mjs
@@ -1,4 +1,4 @@
-// The machine that reads the store for the others is cut off from it; the configuration changes.
+// Seven of twelve machines lose power at once, the readers of the store among them; the configuration changes.
 /* eslint import-x/extensions: ['error', 'always'] -- Node.js resolves whole names only */
 import { Buffer } from 'node:buffer';
 import { join } from 'node:path';
@@ -7,58 +7,67 @@
 import { configuration } from '../lib/deployment.mjs';
 import { runCase } from '../lib/Mesh.mjs';
 
+const ZONES = ['a', 'b', 'c', 'd'];
 const SERVICES = ['bookings', 'survey'];
 const CONFIG_DEADLINE_S = 2;
-/** `core_cut` of the site: one machine, for 5.5 s. */
-const CUT_MACHINES = 1;
-const CUT_MS = 5_500;
-const CHANGE_AFTER_MS = 300;
-const PAUSE_MS = 6_000;
-const CUTS = 3;
-const ORDER_INTERVAL_MS = 50;
+/** `herd_kill`: 0.6 of twelve machines, rounded down, dark for 5 s. */
+const DARK_MACHINES = 7;
+const DARK_MS = 5_000;
+const CHANGE_AFTER_MS = 200;
+const PAUSE_MS = 9_000;
+const HERDS = 3;
+const ORDER_INTERVAL_MS = 100;
 const RECENT_MS = 3_000;
 
 function version(number, service) {
-  return configuration(
-    number,
-    [{ name: 'orders', kind: 'unsafe', path: '/order/', service }],
-    SERVICES,
+  const rules = [{ name: 'orders', kind: 'unsafe', path: '/order/', service }];
+  return configuration(number, rules, [...SERVICES, 'catalogue']);
+}
+
+/** The machines that read the store last come first; a server of each service keeps its power. */
+function chooseHerd(machines) {
+  const readsStore = ({ storePath }) => Date.now() - storePath.lastPollAt < RECENT_MS;
+  const readers = machines.filter(readsStore);
+  const others = machines.filter((machine) => !readsStore(machine));
+  const spared = SERVICES.map((name) => others.find(({ service }) => service === name));
+  return [...readers, ...others.filter((machine) => !spared.includes(machine))].slice(
+    0,
+    DARK_MACHINES,
   );
 }
 
 await runCase(join(import.meta.dirname, 'record.txt'), async (mesh, trouble) => {
   await mesh.start(
-    [
-      { service: 'bookings', zone: 'a' },
-      { service: 'survey', zone: 'a' },
-      { service: 'bookings', zone: 'a' },
-      { service: 'survey', zone: 'a' },
-    ],
+    ZONES.flatMap((zone) => [
+      { service: 'bookings', zone },
+      { service: 'survey', zone },
+      { service: 'catalogue', zone },
+    ]),
     version(3, SERVICES[0]),
   );
+  const dark = new Set();
   const orders = [];
   const load = setInterval(() => {
-    for (const machine of mesh.machines) {
+    for (const machine of mesh.machines.filter((candidate) => !dark.has(candidate))) {
       orders.push(machine.send('/order/1', { method: 'POST', body: Buffer.alloc(400) }));
     }
   }, ORDER_INTERVAL_MS);
   const changes = [];
-  for (let count = 1; count <= CUTS; count += 1) {
+  for (let count = 1; count <= HERDS; count += 1) {
     await delay(PAUSE_MS);
-    const readers = mesh.machines.filter(
-      ({ storePath }) => Date.now() - storePath.lastPollAt < RECENT_MS,
-    );
-    const cut = trouble ? readers.slice(0, CUT_MACHINES) : [];
-    for (const { storePath } of cut) storePath.cut();
-    mesh.record('cut', { machines: cut.map(({ name }) => name) });
+    const herd = trouble ? chooseHerd(mesh.machines) : [];
+    for (const machine of herd) {
+      dark.add(machine);
+      machine.losePower();
+    }
     await delay(CHANGE_AFTER_MS);
     const service = SERVICES[count % SERVICES.length];
     mesh.store.putConfiguration(version(3 + 2 * count, service));
     const { t } = mesh.record('acknowledged', { version: 3 + 2 * count, service });
-    changes.push({ t, service, cut: new Set(cut.map(({ name }) => name)) });
-    await delay(CUT_MS - CHANGE_AFTER_MS);
-    for (const { storePath } of cut) storePath.heal();
-    mesh.record('healed', {});
+    changes.push({ t, service, touched: new Set(herd.map(({ name }) => name)) });
+    await delay(DARK_MS - CHANGE_AFTER_MS);
+    await Promise.all(herd.map((machine) => machine.regainPower()));
+    dark.clear();
   }
   await delay(1_000);
   clearInterval(load);
@@ -68,7 +77,9 @@
     const newest = changes.findLast((change) => change.t + CONFIG_DEADLINE_S < t);
     const isInForce = newest && newest === changes.findLast((change) => change.t < t);
     const run = runOf.get(attempt);
-    if (!isInForce || newest.cut.has(machine) || !run || run.service === newest.service) return [];
+    if (!isInForce || newest.touched.has(machine) || !run || run.service === newest.service) {
+      return [];
+    }
     return [
       `CONFIG: ${attempt}, sent by ${machine} ${(t - newest.t).toFixed(2)} s after the acknowledgement, ` +
         `was run by ${run.service}, the route's old service`,
--- a/review/lib/Machine.mjs
+++ b/review/lib/Machine.mjs
@@ -38,16 +38,18 @@
     this.host = `${mesh.subnet}.${number}`;
     this.service = service;
     this.zone = zone;
-    this.server = new ServerStandIn({
-      service,
-      zone,
-      slots,
-      workMs,
-      host: this.host,
-      port: PORTS.app,
-      controlPort: PORTS.control_plane,
-      record: (kind, fields) => mesh.record(kind, { machine: this.name, ...fields }),
-    });
+    this.createServer = () =>
+      new ServerStandIn({
+        service,
+        zone,
+        slots,
+        workMs,
+        host: this.host,
+        port: PORTS.app,
+        controlPort: PORTS.control_plane,
+        record: (kind, fields) => mesh.record(kind, { machine: this.name, ...fields }),
+      });
+    this.server = this.createServer();
     this.agent = new Agent({ keepAlive: true, maxSockets: 200 });
   }
 
@@ -121,6 +123,25 @@
     }
   }
 
+  /** The machine loses power: its processes stand still, and its connections stay silent. */
+  losePower() {
+    this.signal('SIGSTOP');
+    this.server.exit();
+  }
+
+  /** The machine has power again: its processes start anew. */
+  async regainPower() {
+    const child = this.process;
+    const ended = new Promise((resolve) => {
+      child.once('exit', resolve);
+    });
+    this.signal('SIGKILL');
+    await ended;
+    this.server = this.createServer();
+    await delay(RESTART_MS);
+    await this.server.start();
+  }
+
   /** Resident memory of the daemon in MB; 0 while it doesn't run. */
   memoryMb() {
     try {
