--- a/review/lib/Mesh.mjs
+++ b/review/lib/Mesh.mjs
@@ -132,6 +132,15 @@
   const mesh = new Mesh(recordFile);
   const trouble = process.env.TROUBLE !== '0';
   let exitCode = 2;
+  // Whatever ends this process, the processes that it started end first.
+  const giveUp = async (reason) => {
+    mesh.record('failed', { reason: String(reason) });
+    await mesh.close();
+    process.exit(2);
+  };
+  for (const event of ['SIGTERM', 'SIGINT', 'uncaughtException', 'unhandledRejection']) {
+    process.once(event, (reason) => void giveUp(reason));
+  }
   try {
     const breaches = await play(mesh, trouble);
     for (const line of breaches) mesh.record('breach', { line });
