--- a/review/2/play.mjs
+++ b/review/2/play.mjs
@@ -28,6 +28,8 @@
       { service: 'catalogue', zone: 'a' },
       { service: 'bookings', zone: 'a', workMs: () => 80 },
       { service: 'bookings', zone: 'b', workMs: () => 80 },
+      // One process of ten machines is killed.
+      ...['a', 'a', 'b', 'b', 'c', 'c', 'c'].map((zone) => ({ service: 'catalogue', zone })),
     ],
     configuration(3, RULES, SERVICES),
   );
--- a/review/3/play.mjs
+++ b/review/3/play.mjs
@@ -23,6 +23,9 @@
     [
       { service: 'catalogue', zone: 'a' },
       { service: 'catalogue', zone: 'b' },
+      // One of the four servers of this service is taken away.
+      { service: 'catalogue', zone: 'c' },
+      { service: 'catalogue', zone: 'd' },
       { service: 'bookings', zone: 'b', workMs: () => 1_000 },
       { service: 'bookings', zone: 'c', workMs: () => 1_000 },
     ],
