Raise the incarnation of a restarted daemon by a drawn number

Two processes of one daemon that restart within one exchange of gossip both heard of the same earlier record and both took its incarnation plus one. A fence question about an attempt at the first one was then answered by the second as its own ("forbidden", so not run), though the first may have run it.

The incarnation now rises by the number that the process drew at its start.

--- a/src/connection/MemberTable.ts
+++ b/src/connection/MemberTable.ts
@@ -108,6 +108,7 @@
     private readonly clock: Clock,
   ) {
     this.ownId = own.id;
+    this.drawnIncarnation = own.incarnation;
     this.store(own);
     this.sweepTimer = setInterval(() => this.sweep(), SWEEP_INTERVAL_MS);
     this.sweepTimer.unref();
@@ -115,6 +116,9 @@
 
   private readonly ownId: DaemonId;
 
+  /** Incarnation that this process drew at its start. */
+  private readonly drawnIncarnation: Incarnation;
+
   public get self(): MemberRecord {
     return this.entries.get(this.ownId)!.record;
   }
@@ -233,7 +237,8 @@
 
   /**
    * If a newer record of this daemon was received from a peer, overrides it by raising the sequence
-   * or incarnation of this daemon's own record.
+   * or incarnation of this daemon's own record. The incarnation rises by the number drawn at the start, so
+   * that two processes that hear of the same record don't take the same one.
    */
   private refute(record: MemberRecord): boolean {
     const { self } = this;
@@ -242,7 +247,7 @@
     this.store({
       ...self,
       incarnation: isNewerIncarnation
-        ? ((record.incarnation + 1) as Incarnation)
+        ? ((record.incarnation + this.drawnIncarnation) as Incarnation)
         : self.incarnation,
       sequence: (isNewerIncarnation ? 0 : record.sequence) + 1,
     });
