Let repeated signals change nothing while a daemon stops

Cause: the second stop signal of any kind called process.exit. A supervisor repeats SIGTERM, for instance when a restart of the daemon and the removal of its upstream coincide. On the way: SIGHUP ended a daemon until its handler was set, after the addresses were bound (ended at 20, 60 and 100 ms after its start).

SIGHUP is handled from the first module on, and a reload that comes early takes place at the start.

Two tests used a second SIGTERM to end their daemon at once, which was the fault: they now ask that a call is still answered after it.

--- a/src/command/daemonMain.ts
+++ b/src/command/daemonMain.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import './deferHangup';
 import { parseArgs } from 'node:util';
 import AzurestreamError from '../common/AzurestreamError';
 import run from './run';
--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import './deferHangup';
 import meow from 'meow';
 import AzurestreamError from '../common/AzurestreamError';
 import LogError from '../connection/LogError';
--- a/src/process/Daemon.ts
+++ b/src/process/Daemon.ts
@@ -94,6 +94,12 @@
     this.dependencies.settings.reload(this.dependencies.logger);
   }
 
+  /** @param signal - Signal to stop that was received while the daemon stopped. */
+  public logRepeatedSignal(signal: NodeJS.Signals): void {
+    const { logger, calls } = this.dependencies;
+    logger.log('A further signal to stop has no effect.', { signal, openCalls: calls.openCalls });
+  }
+
   /**
    * Announces the stop to peers and callers, finishes the running calls, then releases all resources.
    *
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -1,6 +1,7 @@
 import { cpSync, mkdirSync, writeFileSync } from 'node:fs';
 import { connect } from 'node:net';
 import { text } from 'node:stream/consumers';
+import { setTimeout as delay } from 'node:timers/promises';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import Fleet, { eventually } from '../stand-in/Fleet';
@@ -57,9 +58,71 @@
     const statuses: number[] = [];
     for (let call = 0; call < 20; call += 1) statuses.push((await fetch(url)).status);
     assert.equal(new Set(statuses), new Set([200]));
-    // A second SIGTERM ends the daemon without waiting for the drain.
     stopping.child.kill('SIGTERM');
-    await eventually('the stopping daemon has exited', () => stopping.child.exitCode !== null);
+    assert.is((await fetch(url)).status, 200, 'a second SIGTERM ends no call');
+    assert.is(stopping.child.exitCode, null);
+  } finally {
+    await fleet.dispose();
+  }
+});
+
+// Guards against calls that are cut as signals come again while a daemon stops.
+test('a daemon that gets signals in series while it stops answers the calls that it took', async () => {
+  const fleet = new Fleet();
+  try {
+    await fleet.startLog();
+    const [daemon] = await startDaemons(fleet, ['coq']);
+    const stopping = await fleet.startDaemon({
+      name: 'stopping',
+      zone: 'coq',
+      extra: { daemon: 'leave = "200ms"\ndrain = "60s"' },
+    });
+    const upstream = await fleet.startUpstream('stock', daemon!, 2_000);
+    const folder = writeFolder(fleet, 'folder', configurationFiles(['stock'], 'first'));
+    await publish(fleet, folder);
+    const call = (id: string) =>
+      fetch(`http://${stopping.ready.listening.calls}/stock`, {
+        method: 'POST',
+        headers: { 'x-call-id': id },
+      });
+    await eventually('a call is answered', async () => (await call('before')).status === 200);
+    const ids = ['first', 'second', 'third'];
+    const answers = ids.map(call);
+    await eventually('the calls run', async () => {
+      const ran = (await fetchLedger(upstream.ready.port)).map(({ id }) => id);
+      return ids.every((id) => ran.includes(id));
+    });
+    for (const signal of ['SIGTERM', 'SIGHUP', 'SIGTERM', 'SIGINT', 'SIGHUP', 'SIGTERM'] as const) {
+      stopping.child.kill(signal);
+      await delay(50);
+    }
+    const statuses = (await Promise.all(answers)).map(({ status }) => status);
+    assert.equal(statuses, [200, 200, 200]);
+    await eventually('the daemon has exited', () => stopping.child.exitCode !== null);
+    assert.is(stopping.child.exitCode, 0);
+  } finally {
+    await fleet.dispose();
+  }
+});
+
+// Guards against a process that a reload of its settings ends.
+test('a daemon that gets SIGHUP while it starts runs on', async () => {
+  const fleet = new Fleet();
+  try {
+    await fleet.startLog();
+    const preload = fleet.tempPath('hangup.cjs');
+    writeFileSync(
+      preload,
+      `const { Server } = require('node:net');
+      const { listen } = Server.prototype;
+      Server.prototype.listen = function (...args) {
+        process.kill(process.pid, 'SIGHUP');
+        return listen.apply(this, args);
+      };`,
+    );
+    const nodeArguments = ['--require', preload];
+    const daemon = await fleet.startDaemon({ name: 'coq-0', zone: 'coq', nodeArguments });
+    assert.is(await Fleet.stopProcess(daemon), 0);
   } finally {
     await fleet.dispose();
   }
@@ -209,9 +272,9 @@
         ['second', true],
       ],
     );
-    // A second SIGTERM ends the daemon without waiting for the drain.
     stopping.child.kill('SIGTERM');
-    await eventually('the stopping daemon has exited', () => stopping.child.exitCode !== null);
+    assert.is((await fetch(url)).status, 200, 'a second SIGTERM ends no call');
+    assert.is(stopping.child.exitCode, null);
   } finally {
     await fleet.dispose();
   }
