Log why a daemon reads the store and when its version was last confirmed

A daemon that hears nothing of a newer version logged nothing: behindMs starts only when it hears of one. Needed to tell apart whether a late version wasn't read, wasn't passed on, or was validated late.

--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -43,6 +43,9 @@
   readonly staleMs: number;
 }
 
+/** Why a daemon reads the store. */
+type ReadReason = 'start' | 'rank' | 'failed reads' | 'stale';
+
 /**
  * Watches a store that retains the newest complete configuration. Every daemon reads the store once
  * at startup; afterwards only the first-ranked daemons of some zones read it, and the others receive
@@ -55,7 +58,7 @@
   /** Offset at which the next read starts; `undefined` to read the newest configuration. */
   private nextOffset: Offset | undefined;
 
-  private reading = false;
+  private reason: ReadReason | undefined;
 
   private reads = 0;
 
@@ -84,7 +87,7 @@
 
   public get state(): LogReaderState {
     return {
-      reading: this.reading,
+      reading: this.reason !== undefined,
       anchored: this.hasConfirmedRead,
       unknownSchema: undefined,
       reads: this.reads,
@@ -101,8 +104,8 @@
   /** @param signal - Stops the task. */
   public async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      this.reading = this.shouldRead();
-      if (!this.reading) {
+      this.updateReason();
+      if (!this.reason) {
         await sleep(ROLE_CHECK_INTERVAL_MS, signal);
         continue;
       }
@@ -128,9 +131,23 @@
     return this.rank.value < readersPerZone && this.rank.ofZone < readerZones;
   }
 
-  private shouldRead(): boolean {
-    const { readsLog } = this.members.self;
-    return !this.hasConfirmedRead || !readsLog || this.isReader() || this.isStale();
+  private reasonToRead(): ReadReason | undefined {
+    if (!this.hasConfirmedRead) return 'start';
+    if (this.isReader()) return 'rank';
+    if (!this.members.self.readsLog) return 'failed reads';
+    return this.isStale() ? 'stale' : undefined;
+  }
+
+  private updateReason(): void {
+    const before = this.reason;
+    this.reason = this.reasonToRead();
+    if (this.reason === before) return;
+    const { version, confirmedAt } = this.heads.knowledge;
+    this.logger.log(this.reason ? 'Reads the store.' : 'Leaves reading the store to others.', {
+      reason: this.reason ?? before,
+      version,
+      confirmedAgoMs: confirmedAt === undefined ? null : Math.round(this.clock.now() - confirmedAt),
+    });
   }
 
   private isStale(): boolean {
--- a/src/connection/PeerHeadTracker.test.ts
+++ b/src/connection/PeerHeadTracker.test.ts
@@ -82,11 +82,11 @@
   assert.equal([tracker.refusedHead, tracker.behindMs], [undefined, 0]);
   assert.snapshot(
     lines.join('\n'),
-    `A version came into force. {"version":3,"before":null,"through":4,"source":"store","files":2,"behindMs":0,"tookMs":0}
-A version came into force. {"version":5,"before":3,"through":5,"source":"coq-2","files":2,"behindMs":250,"tookMs":0}
+    `A version came into force. {"version":3,"before":null,"through":4,"source":"store","files":2,"behindMs":0,"confirmedAgoMs":null,"tookMs":0}
+A version came into force. {"version":5,"before":3,"through":5,"source":"coq-2","files":2,"behindMs":250,"confirmedAgoMs":1250,"tookMs":0}
 A version was refused. {"version":7,"before":5,"source":"a peer","reason":"version 7 can't be put in force: its digest differs"}
 A version was refused. {"version":9,"before":5,"source":"store","reason":"version 9 can't be put in force: 10.toml:2: service.stock.slots: found -1, expected a whole number from 1 to 10000"}
-A version came into force. {"version":11,"before":5,"through":12,"source":"store","files":2,"behindMs":400,"tookMs":0}`,
+A version came into force. {"version":11,"before":5,"through":12,"source":"store","files":2,"behindMs":400,"confirmedAgoMs":1650,"tookMs":0}`,
   );
 });
 
--- a/src/connection/PeerHeadTracker.ts
+++ b/src/connection/PeerHeadTracker.ts
@@ -222,6 +222,7 @@
     if (!this.versions.activate(head)) return;
     if (through > this.through) this.through = through;
     const behindMs = Math.round(this.behindMs);
+    const { confirmedAt } = this;
     if (version >= (this.newestHeard ?? version)) this.behindSince = undefined;
     this.logger.log('A version came into force.', {
       version,
@@ -230,6 +231,8 @@
       source,
       files: folder.length,
       behindMs,
+      // Null if no daemon has told since the start that the version before was the newest.
+      confirmedAgoMs: confirmedAt === undefined ? null : Math.round(startedAt - confirmedAt),
       tookMs: Math.round(this.clock.now() - startedAt),
     });
     for (const issue of this.versions.snapshot?.leftOut ?? []) {
