Read the store while the readers may be lost or cut off from it

Cause: the deadline of 2 s rested on a chain of timeouts that add up to 5 s and more: heartbeat, response timeout, probes, suspicion, rank.

Change: (1) a daemon whose successor on the ring of all members is late by 0.3 to 0.7 s reads for itself until that is settled; each group of daemons that can still reach each other has such a member. LogTailer, the same. (2) The readers' long polls end in turn; a poll without an answer hands over at once and two standbys of each zone read too; a failed read is repeated at once on a new connection. Both chains are one fault, a bound that no timeout of its chain knows, and share the reading loop.

The scripted store of ConfigurationWatcher.test follows the new interface; no check changed.

--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -16,10 +16,12 @@
 import VersionStore from '../version/VersionStore';
 import ConfigurationWatcher from './ConfigurationWatcher';
 import LogExpiredError from './LogExpiredError';
+import LogTimeoutError from './LogTimeoutError';
 import LogUnavailableError from './LogUnavailableError';
 import MemberTable from './MemberTable';
 import PeerHeadTracker from './PeerHeadTracker';
-import type { ConfigurationBatch, ConfigurationStore } from './Types';
+import ReaderDoubt from './ReaderDoubt';
+import type { ConfigurationBatch, ConfigurationStore, MemberRecord } from './Types';
 
 function batch(version: number, next: number): ConfigurationBatch {
   const content = `[service.stock]\nslots = ${version}\n`;
@@ -30,6 +32,22 @@
   };
 }
 
+/** Record of the daemon that watches. */
+const SELF: MemberRecord = {
+  id: 'coq-1' as DaemonId,
+  incarnation: 1 as Incarnation,
+  sequence: 0,
+  zone: 'coq' as ZoneName,
+  address: '127.0.0.1:1' as Address,
+  control: '127.0.0.1:2' as Address,
+  service: null,
+  state: 'none',
+  healthHint: true,
+  slots: null,
+  readsLog: true,
+  health: 'alive',
+};
+
 /**
  * A configuration store that runs one scripted step for each read; after the last step, reads wait
  * until they are cancelled.
@@ -37,6 +55,8 @@
 class ScriptedStore implements ConfigurationStore {
   public readonly requests: string[] = [];
 
+  public connections = 0;
+
   public constructor(private readonly steps: (() => ConfigurationBatch)[]) {}
 
   public newest(signal: AbortSignal): Promise<ConfigurationBatch> {
@@ -47,6 +67,10 @@
     return this.step(`from ${from}`, signal);
   }
 
+  public reconnect(): void {
+    this.connections += 1;
+  }
+
   private async step(request: string, signal: AbortSignal): Promise<ConfigurationBatch> {
     const step = this.steps.shift();
     if (!step) {
@@ -62,20 +86,7 @@
 test('expired offsets, failed reads and older versions leave the newest version in force', async () => {
   const clock = new SystemClock();
   const members = new MemberTable(
-    {
-      id: 'coq-1' as DaemonId,
-      incarnation: 1 as Incarnation,
-      sequence: 0,
-      zone: 'coq' as ZoneName,
-      address: '127.0.0.1:1' as Address,
-      control: '127.0.0.1:2' as Address,
-      service: null,
-      state: 'none',
-      healthHint: true,
-      slots: null,
-      readsLog: true,
-      health: 'alive',
-    },
+    SELF,
     { suspicionMs: 1_000, tombstoneMs: 1_000, partitionTimeoutMs: 1_000 },
     clock,
   );
@@ -103,6 +114,7 @@
     new PeerHeadTracker(versions, clock, { log: () => undefined }),
     members,
     { readersPerZone: 1, readerZones: 1, staleMs: 60_000 },
+    new ReaderDoubt(clock),
     clock,
     new SeededRandom(3),
     { log: () => undefined },
@@ -127,4 +139,89 @@
   members.dispose();
 });
 
+/** Runs a watcher on scripted reads, and returns the reads and the changes of `readsLog` once all were done. */
+async function watch(steps: (() => ConfigurationBatch)[], others: readonly MemberRecord[] = []) {
+  const clock = new SystemClock();
+  const members = new MemberTable(
+    SELF,
+    { suspicionMs: 1_000, tombstoneMs: 1_000, partitionTimeoutMs: 1_000 },
+    clock,
+  );
+  members.merge(others);
+  const readsLog: boolean[] = [];
+  members.onChange((records) => {
+    const own = records.find(({ id }) => id === SELF.id);
+    if (own) readsLog.push(own.readsLog);
+  });
+  const doubt = new ReaderDoubt(clock);
+  const store = new ScriptedStore(steps);
+  const watcher = new ConfigurationWatcher(
+    store,
+    new PeerHeadTracker(new VersionStore(mergeSteps, clock), clock, { log: () => undefined }),
+    members,
+    { readersPerZone: 1, readerZones: 1, staleMs: 60_000 },
+    doubt,
+    clock,
+    new SeededRandom(3),
+    { log: () => undefined },
+  );
+  const end = new AbortController();
+  const running = watcher.run(end.signal);
+  const settle = async (condition: () => boolean) => {
+    while (!condition()) await delay(5);
+  };
+  const finish = async () => {
+    end.abort();
+    await running;
+    watcher.dispose();
+    members.dispose();
+  };
+  return { members, store, doubt, readsLog, settle, finish };
+}
+
+/** Members of the same zone that all rank before this daemon, as their links are faster. */
+function fasterMembers(count: number, changes: Partial<MemberRecord> = {}): MemberRecord[] {
+  return Array.from({ length: count }, (_, index) => ({
+    ...SELF,
+    id: `coq-${index + 2}` as DaemonId,
+    linkMbps: 1_000,
+    ...changes,
+  }));
+}
+
+// Guards against a reader that hands over only after several timeouts.
+test('a reader hands over after one read without a response, or two that failed otherwise', async () => {
+  const fail = (error: Error) => () => {
+    throw error;
+  };
+  const silent = await watch([() => batch(7, 4), fail(new LogTimeoutError('silent'))]);
+  await silent.settle(() => silent.readsLog.length > 0);
+  assert.equal([silent.readsLog, silent.store.requests], [[false], ['newest', 'from 4']]);
+  await silent.finish();
+  const reset = await watch([
+    () => batch(7, 4),
+    fail(new LogUnavailableError('reset')),
+    fail(new LogUnavailableError('reset')),
+  ]);
+  await reset.settle(() => reset.readsLog.length > 0);
+  assert.equal([reset.readsLog, reset.store.requests], [[false], ['newest', 'from 4', 'from 4']]);
+  await reset.finish();
+});
+
+test('a daemon that is no reader reads while a peer is late, and once when a reader fails', async () => {
+  const peers = fasterMembers(4);
+  const standby = await watch([() => batch(7, 4), () => batch(8, 5), () => batch(9, 6)], peers);
+  const { members, store, doubt, settle, finish } = standby;
+  await settle(() => store.requests.length === 1);
+  doubt.recordLate(peers[0]!.id);
+  await settle(() => store.requests.length === 2);
+  doubt.recordAnswer(peers[0]!.id);
+  // With one of the four before it lost as a reader, this daemon is a standby.
+  members.merge([{ ...peers[0]!, readsLog: false, sequence: 1 }]);
+  await settle(() => store.requests.length === 3);
+  members.merge([{ ...peers[1]!, readsLog: false, sequence: 1 }]);
+  assert.equal(store.requests, ['newest', 'from 4', 'from 5']);
+  await finish();
+});
+
 test.run();
--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -1,41 +1,41 @@
 import { jitteredBackoff, jitteredPeriod, type Backoff } from '../common/backoff';
 import runInSlices from '../common/runInSlices';
 import sleep from '../common/sleep';
+import withLinkedSignal from '../common/withLinkedSignal';
 import type { Clock, Disposable, Logger, Offset, Random } from '../common/Types';
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
 import { applyChanges, digestSteps, folderChanges } from '../version/folder';
 import type { Head } from '../version/Types';
 import LogError from './LogError';
 import LogExpiredError from './LogExpiredError';
+import LogTimeoutError from './LogTimeoutError';
 import type MemberTable from './MemberTable';
 import type {
   ConfigurationBatch,
   ConfigurationStore,
   HeadTracker,
   LogReaderState,
+  MemberRecord,
   PublishedConfiguration,
 } from './Types';
-import MemberRank from './MemberRank';
+import type ReaderDoubt from './ReaderDoubt';
+import ReaderRole, { type ReaderCounts } from './ReaderRole';
 
-/**
- * Wait of a long poll for a newer configuration; an empty response confirms that the known one is
- * the newest.
- */
-const LONG_POLL_WAIT_MS = 2_000;
 /** Interval at which a daemon that doesn't read the store checks whether it should. */
 const ROLE_CHECK_INTERVAL_MS = 100;
 /** Delay after a new version is read; of versions published meanwhile, only the last is read. */
 const COALESCE_MS = 300;
 const READ_BACKOFF: Backoff = { baseMs: 150, capMs: 1_500 };
-/** Number of consecutive failed reads after which the next daemon by rank reads the store. */
+/**
+ * Number of consecutive reads that were turned away or reset after which the next daemon by rank reads the
+ * store. A read without a response hands over at once, as its timeout has passed already.
+ */
 const FAILURES_BEFORE_HANDOVER = 2;
+/** Shortest time between two reads on behalf of readers that lost the store, in milliseconds. */
+const MIN_CATCH_UP_INTERVAL_MS = 2_000;
 
 /** Conditions under which a daemon itself reads the configuration store. */
-export interface ConfigurationWatcherOptions {
-  /** Number of daemons in each zone that watch the store. */
-  readonly readersPerZone: number;
-  /** Number of zones whose daemons watch the store; the others learn from their peers. */
-  readonly readerZones: number;
+export interface ConfigurationWatcherOptions extends ReaderCounts {
   /**
    * If the configuration has not been confirmed by peers to be the newest for this many ms, a daemon
    * reads the store itself.
@@ -44,16 +44,22 @@
 }
 
 /** Why a daemon reads the store. */
-type ReadReason = 'start' | 'rank' | 'failed reads' | 'stale';
+type ReadReason =
+  'start' | 'rank' | 'failed reads' | 'a peer is late' | 'a reader failed' | 'stale';
 
 /**
  * Watches a store that retains the newest complete configuration. Every daemon reads the store once
  * at startup; afterwards only the first-ranked daemons of some zones read it, and the others receive
  * changes from peers. A daemon whose reads fail sets `readsLog` to false in its member record, and
- * the next daemon by rank takes over.
+ * the next daemon by rank takes over; a few more read once, as the cause may concern several daemons. While
+ * the readers may be lost themselves, the daemons that notice this read too.
  */
 export default class ConfigurationWatcher implements Disposable {
-  private readonly rank: MemberRank;
+  private readonly role: ReaderRole;
+
+  private readonly subscriptions: readonly Disposable[];
+
+  private wakeup = new AbortController();
 
   /** Offset at which the next read starts; `undefined` to read the newest configuration. */
   private nextOffset: Offset | undefined;
@@ -68,16 +74,28 @@
 
   private hasConfirmedRead = false;
 
+  /** Whether the next wait is the first of several that all readers begin at the same time. */
+  private isFirstWait = true;
+
+  private hasReaderFailed = false;
+
+  private lastCatchUpAt = -Infinity;
+
   public constructor(
     private readonly store: ConfigurationStore,
     private readonly heads: HeadTracker,
     private readonly members: MemberTable,
     private readonly options: ConfigurationWatcherOptions,
+    private readonly doubt: ReaderDoubt,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
   ) {
-    this.rank = new MemberRank(members, 'log-reader');
+    this.role = new ReaderRole(members, options);
+    this.subscriptions = [
+      doubt.onRaise(() => this.wakeup.abort()),
+      members.onChange((records) => this.noteFailedReaders(records)),
+    ];
   }
 
   /** Whether any read of the store has succeeded since the start of this daemon. */
@@ -98,7 +116,8 @@
   }
 
   public dispose(): void {
-    this.rank.dispose();
+    for (const subscription of this.subscriptions) subscription.dispose();
+    this.role.dispose();
   }
 
   /** @param signal - Stops the task. */
@@ -106,35 +125,61 @@
     while (!signal.aborted) {
       this.updateReason();
       if (!this.reason) {
-        await sleep(ROLE_CHECK_INTERVAL_MS, signal);
+        await this.awaitReason(signal);
         continue;
       }
       try {
         const isNewVersion = await this.readOnce(signal);
         this.recordSuccess();
+        this.isFirstWait = isNewVersion;
         if (isNewVersion) await sleep(COALESCE_MS, signal);
         // Without this delay, all daemons that lose their peers at once would overload the store.
-        if (!this.isReader() && this.isStale()) {
+        if (this.reason === 'stale' && this.isStale()) {
           await sleep(jitteredPeriod(this.options.staleMs, this.random), signal);
         }
       } catch (error) {
         if (signal.aborted) return;
         if (!(error instanceof LogError)) throw error;
         this.recordFailure(error);
-        await sleep(jitteredBackoff(READ_BACKOFF, this.consecutiveFailures, this.random), signal);
+        await this.awaitRetry(signal);
       }
     }
   }
 
-  private isReader(): boolean {
-    const { readersPerZone, readerZones } = this.options;
-    return this.rank.value < readersPerZone && this.rank.ofZone < readerZones;
+  private async awaitReason(signal: AbortSignal): Promise<void> {
+    await withLinkedSignal([signal, this.wakeup.signal], undefined, (ended) =>
+      sleep(ROLE_CHECK_INTERVAL_MS, ended),
+    );
+    if (this.wakeup.signal.aborted) this.wakeup = new AbortController();
+  }
+
+  /** Waits before a failed read is repeated; the first repetition, on a new connection, comes at once. */
+  private async awaitRetry(signal: AbortSignal): Promise<void> {
+    const retries = this.consecutiveFailures - 1;
+    if (retries > 0) await sleep(jitteredBackoff(READ_BACKOFF, retries, this.random), signal);
+  }
+
+  private noteFailedReaders(records: readonly MemberRecord[]): void {
+    const { id: own } = this.members.self;
+    if (this.reason) return;
+    if (records.some(({ id, readsLog }) => id !== own && !readsLog)) this.hasReaderFailed = true;
+  }
+
+  /** Whether this daemon should read once, as a reader lost the store. */
+  private isCatchUpDue(): boolean {
+    if (!this.hasReaderFailed) return false;
+    const isSpaced = this.clock.now() - this.lastCatchUpAt >= MIN_CATCH_UP_INTERVAL_MS;
+    if (isSpaced && this.role.isStandby) return true;
+    this.hasReaderFailed = false;
+    return false;
   }
 
   private reasonToRead(): ReadReason | undefined {
     if (!this.hasConfirmedRead) return 'start';
-    if (this.isReader()) return 'rank';
+    if (this.role.isReader) return 'rank';
     if (!this.members.self.readsLog) return 'failed reads';
+    if (this.doubt.isRaised) return 'a peer is late';
+    if (this.isCatchUpDue()) return 'a reader failed';
     return this.isStale() ? 'stale' : undefined;
   }
 
@@ -142,6 +187,9 @@
     const before = this.reason;
     this.reason = this.reasonToRead();
     if (this.reason === before) return;
+    this.isFirstWait = true;
+    // Connections that are open since earlier reads may have gone silent with those to the peers.
+    if (this.reason) this.store.reconnect();
     const { version, confirmedAt } = this.heads.knowledge;
     this.logger.log(this.reason ? 'Reads the store.' : 'Leaves reading the store to others.', {
       reason: this.reason ?? before,
@@ -158,6 +206,10 @@
   /** @returns Whether the read put a new version of the configuration in force. */
   private async readOnce(signal: AbortSignal): Promise<boolean> {
     this.reads += 1;
+    if (this.reason === 'a reader failed') {
+      this.hasReaderFailed = false;
+      this.lastCatchUpAt = this.clock.now();
+    }
     let batch: ConfigurationBatch;
     try {
       batch = await this.read(signal);
@@ -180,8 +232,16 @@
       this.nextOffset = knowledge.through;
     }
     if (this.nextOffset === undefined) return this.store.newest(signal);
-    const waitMs = this.isReader() ? LONG_POLL_WAIT_MS : 0;
-    return this.store.changes(this.nextOffset, waitMs, signal);
+    return this.store.changes(this.nextOffset, this.waitMs(), signal);
+  }
+
+  /** Longest wait of the next read for a newer version, in milliseconds. */
+  private waitMs(): number {
+    if (this.consecutiveFailures > 0) return 0;
+    if (this.reason === 'rank') return this.role.waitMs(this.isFirstWait);
+    // A read that waits costs no more than one that doesn't, and hears of later versions too.
+    const isOnBehalf = this.reason === 'a peer is late' || this.reason === 'a reader failed';
+    return isOnBehalf ? this.role.waitMs(false) : 0;
   }
 
   /** @returns Whether a newer version is in force now than before. */
@@ -223,7 +283,9 @@
     if (this.consecutiveFailures === 1) {
       this.logger.log('Lost the store.', { reason: error.message, next: this.nextOffset });
     }
-    if (this.consecutiveFailures === FAILURES_BEFORE_HANDOVER && this.members.self.readsLog) {
+    const isLost =
+      error instanceof LogTimeoutError || this.consecutiveFailures >= FAILURES_BEFORE_HANDOVER;
+    if (isLost && this.members.self.readsLog) {
       this.members.updateSelf({ readsLog: false });
     }
   }
--- a/src/connection/HashRings.ts
+++ b/src/connection/HashRings.ts
@@ -19,6 +19,9 @@
   { name: 'fleet-b', withinZone: false },
 ];
 
+/** Ring of all members on which each daemon watches its successor. */
+const WATCH_RING = RINGS.find(({ withinZone }) => !withinZone)!;
+
 /** Computes this daemon's successors on the hash rings. */
 export default class HashRings {
   private readonly positions = new Map<string, number>();
@@ -40,6 +43,15 @@
     return chosen;
   }
 
+  /**
+   * @param self - Record of this daemon.
+   * @param members - Members that can be successors.
+   * @returns The successor on the one ring of all members on which each daemon watches the next.
+   */
+  public watched(self: MemberRecord, members: readonly MemberRecord[]): MemberRecord | undefined {
+    return this.successor(WATCH_RING, self, members);
+  }
+
   /** @param live - Members whose cached ring positions are kept; all others are removed. */
   public prune(live: ReadonlySet<DaemonId>): void {
     for (const key of this.positions.keys()) {
--- a/src/connection/LogTailer.ts
+++ b/src/connection/LogTailer.ts
@@ -9,6 +9,7 @@
 import type { HeadTracker, Log, LogBatch, LogReaderState, Membership } from './Types';
 import LogUnavailableError from './LogUnavailableError';
 import MemberRank from './MemberRank';
+import type ReaderDoubt from './ReaderDoubt';
 
 /** Longest wait of a read at the end of the configuration stream for a further record. */
 const LONG_POLL_WAIT_MS = 2_000;
@@ -29,8 +30,8 @@
 
 /**
  * Tails the configuration stream while this daemon is one of the designated readers of its zone, or
- * while no peer has confirmed the head recently. Readers are chosen by rank without consensus: an
- * inconsistent view of the members only causes additional reads.
+ * while no peer has confirmed the head recently or the readers may be lost. Readers are chosen by rank without
+ * consensus: an inconsistent view of the members only causes additional reads.
  */
 export default class LogTailer implements Disposable {
   private readonly rank: MemberRank;
@@ -53,6 +54,7 @@
     members: Membership,
     private readonly merge: FolderMerger,
     private readonly options: LogTailerOptions,
+    private readonly doubt: ReaderDoubt,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
@@ -85,7 +87,7 @@
   public async run(signal: AbortSignal): Promise<void> {
     let consecutiveFailures = 0;
     while (!signal.aborted) {
-      if (!this.isReader() && !this.isStale()) {
+      if (!this.isReader() && !this.doubt.isRaised && !this.isStale()) {
         this.reading = false;
         await sleep(ROLE_CHECK_INTERVAL_MS, signal);
         continue;
@@ -103,7 +105,9 @@
         await sleep(jitteredBackoff(READ_BACKOFF, consecutiveFailures, this.random), signal);
       }
       // Without this delay, all daemons that lose their peers at once would overload the log.
-      if (!this.isReader()) await sleep(jitteredPeriod(this.options.staleMs, this.random), signal);
+      if (!this.isReader() && !this.doubt.isRaised) {
+        await sleep(jitteredPeriod(this.options.staleMs, this.random), signal);
+      }
     }
   }
 
@@ -114,7 +118,7 @@
 
   private async readOnce(signal: AbortSignal): Promise<void> {
     const replay = await this.prepareReplay();
-    const waitMs = this.isReader() ? LONG_POLL_WAIT_MS : 0;
+    const waitMs = this.isReader() || this.doubt.isRaised ? LONG_POLL_WAIT_MS : 0;
     this.reads += 1;
     let batch: LogBatch;
     try {
--- a/src/connection/MemberRank.ts
+++ b/src/connection/MemberRank.ts
@@ -8,6 +8,8 @@
 interface Ranks {
   readonly inZone: number;
   readonly ofZone: number;
+  readonly zones: number;
+  readonly members: number;
 }
 
 /**
@@ -26,14 +28,14 @@
   private readonly subscription: Disposable;
 
   /**
-   * @param members - Known members.
+   * @param membership - Known members.
    * @param role - Name of the role, part of the hash input.
    */
   public constructor(
-    private readonly members: Membership,
+    private readonly membership: Membership,
     private readonly role: string,
   ) {
-    this.subscription = members.onChange(() => {
+    this.subscription = membership.onChange(() => {
       this.cachedRanks = undefined;
     });
   }
@@ -48,6 +50,16 @@
     return this.ranks.ofZone;
   }
 
+  /** Number of zones with members, including this daemon's. */
+  public get zones(): number {
+    return this.ranks.zones;
+  }
+
+  /** Number of ranked members, including this daemon. */
+  public get members(): number {
+    return this.ranks.members;
+  }
+
   /** Whether this daemon ranks first in the whole fleet. */
   public get isFirstOfFleet(): boolean {
     return this.value === 0 && this.ofZone === 0;
@@ -63,8 +75,8 @@
   }
 
   private computeRanks(): Ranks {
-    const { self } = this.members;
-    const others = this.members
+    const { self } = this.membership;
+    const others = this.membership
       .live()
       .filter(({ id, health, readsLog }) => id !== self.id && health === 'alive' && readsLog);
     const own = this.weight(self.id);
@@ -76,7 +88,12 @@
     const ownZone = this.weight(self.zone);
     const zones = new Set<ZoneName>(others.map(({ zone }) => zone));
     const ahead = [...zones].filter((zone) => this.weight(zone) > ownZone);
-    return { inZone: inZone.length, ofZone: ahead.length };
+    return {
+      inZone: inZone.length,
+      ofZone: ahead.length,
+      zones: zones.add(self.zone).size,
+      members: others.length + 1,
+    };
   }
 
   private weight(name: string): number {
--- a/src/connection/Overlay.ts
+++ b/src/connection/Overlay.ts
@@ -49,6 +49,9 @@
 
   private readonly hashRings = new HashRings();
 
+  /** Member whose late answers raise the doubt that the readers may be lost. */
+  private watched: DaemonId | undefined;
+
   private readonly probeQueue = new PQueue({ concurrency: MAX_CONCURRENT_PROBES });
 
   private readonly syncEmitter = new Emitter<readonly MemberRecord[]>();
@@ -160,6 +163,20 @@
     this.syncEmitter.dispose();
   }
 
+  /** Watches the next member on the ring of all members that can be reached. */
+  private watch(eligible: readonly MemberRecord[]): void {
+    const { members, doubt } = this.services;
+    const id = this.hashRings.watched(members.self, eligible)?.id;
+    if (id === this.watched) return;
+    if (this.watched !== undefined) {
+      if (members.get(this.watched)?.health === 'alive') doubt.forget(this.watched);
+      else doubt.recordLoss(this.watched);
+      const link = this.links.get(this.watched)?.link;
+      if (link) link.isWatched = false;
+    }
+    this.watched = id;
+  }
+
   private reconcile(): void {
     const { members } = this.services;
     const now = this.clock.now();
@@ -169,7 +186,10 @@
     );
     const successors = this.hashRings.successors(members.self, eligible);
     for (const [id, { end }] of this.links) if (!successors.has(id)) this.closeLink(id, end);
+    this.watch(eligible);
     for (const member of successors.values()) if (!this.links.has(member.id)) this.open(member);
+    const watchedLink = this.watched === undefined ? undefined : this.links.get(this.watched);
+    if (watchedLink) watchedLink.link.isWatched = true;
     this.hashRings.prune(new Set(live.map(({ id }) => id)));
   }
 
@@ -208,6 +228,7 @@
         stage: link.stage,
       });
       this.services.fetchLease.release();
+      if (link.isWatched) this.services.doubt.recordLoss(member.id);
       this.deferRedial(member.id, this.clock.now() - openedAt);
       await this.probeQueue.add(() => this.confirmFailure(member));
     } finally {
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -1,5 +1,5 @@
-import type { Disposable, Logger } from '../common/Types';
-import withStallAwareTimeout from './withStallAwareTimeout';
+import type { Clock, Disposable, Logger } from '../common/Types';
+import withStallAwareTimeout, { stallAwareSleep } from './withStallAwareTimeout';
 import type FetchLease from './FetchLease';
 import type Gossip from './Gossip';
 import isSameRecord from './isSameRecord';
@@ -7,6 +7,8 @@
 import type Outbox from './Outbox';
 import PeerConnection from './PeerConnection';
 import PeerError from './PeerError';
+import type ReaderDoubt from './ReaderDoubt';
+import RoundTripEstimate from './RoundTripEstimate';
 import type SocketMeter from './SocketMeter';
 import type {
   DeltaMessage,
@@ -39,21 +41,15 @@
   readonly fetchLease: FetchLease;
   readonly meter: SocketMeter;
   readonly logger: Logger;
+  readonly clock: Clock;
+  /** Learns when a watched peer is late to answer. */
+  readonly doubt: ReaderDoubt;
   /** Interval between heartbeats on a link, in ms; changes are sent without waiting for it. */
   readonly heartbeatIntervalMs: number;
   /** Called with the member records that a peer sent in a synchronisation, once they are merged. */
   readonly onSync: (records: readonly MemberRecord[]) => void;
 }
 
-/** Awaits a response until the timeout or the end of the connection. */
-function awaitResponse<Result>(
-  ended: AbortSignal,
-  sendRequest: (signal: AbortSignal) => Promise<Result>,
-  timeoutMs = RESPONSE_TIMEOUT_MS,
-): Promise<Result> {
-  return withStallAwareTimeout([ended], timeoutMs, sendRequest);
-}
-
 /** An outgoing connection to one peer, with its heartbeats and member synchronisation. */
 export default class PeerLink {
   private up = false;
@@ -68,6 +64,11 @@
 
   private readonly outbox: Outbox;
 
+  private readonly roundTrips = new RoundTripEstimate();
+
+  /** Whether this daemon watches the peer, and doubts the readers when it is late to answer. */
+  public isWatched = false;
+
   /**
    * @param peer - Member to connect to.
    * @param services - Dependencies shared by all links.
@@ -109,7 +110,7 @@
       beat: gossip.createMemberHeartbeat(),
     };
     try {
-      await awaitResponse(connection.ended, (signal) =>
+      await this.awaitResponse(connection.ended, (signal) =>
         connection.client.beat.mutate(update, { signal }),
       );
       return true;
@@ -162,8 +163,31 @@
     }
   }
 
+  /** Awaits a short response until the timeout or the end of the connection, and notes when it is late. */
+  private async awaitResponse<Result>(
+    ended: AbortSignal,
+    sendRequest: (signal: AbortSignal) => Promise<Result>,
+  ): Promise<Result> {
+    const { clock, doubt } = this.services;
+    const sentAt = clock.now();
+    const settled = new AbortController();
+    void stallAwareSleep(this.roundTrips.lateMs, settled.signal).then(() => {
+      if (!settled.signal.aborted && this.isWatched) doubt.recordLate(this.peer.id);
+    });
+    try {
+      const result = await withStallAwareTimeout([ended], RESPONSE_TIMEOUT_MS, sendRequest);
+      this.roundTrips.add(clock.now() - sentAt);
+      doubt.recordAnswer(this.peer.id);
+      return result;
+    } finally {
+      settled.abort();
+    }
+  }
+
   private async verifyIdentity({ client, ended }: PeerConnection): Promise<void> {
-    const id = await awaitResponse(ended, (signal) => client.identity.query(undefined, { signal }));
+    const id = await this.awaitResponse(ended, (signal) =>
+      client.identity.query(undefined, { signal }),
+    );
     if (id !== this.peer.id) throw new PeerError(this.peer.id, `${id} answers at its address`);
   }
 
@@ -175,7 +199,7 @@
       records: this.outbox.drain(),
       beat: gossip.createHeartbeat(),
     };
-    const reply = await awaitResponse(connection.ended, (signal) =>
+    const reply = await this.awaitResponse(connection.ended, (signal) =>
       connection.client.beat.mutate(update, { signal }),
     );
     await this.catchUp(connection, reply.beat);
@@ -191,10 +215,8 @@
     if (heads.isBehind(heartbeat) && fetchLease.tryAcquire()) {
       const { version } = heads.offer;
       const applyChangesSince = async (base: Heartbeat['version']) => {
-        const message = await awaitResponse(
-          ended,
-          (signal) => client.changes.query({ base, packed: true }, { signal }),
-          TRANSFER_TIMEOUT_MS,
+        const message = await withStallAwareTimeout([ended], TRANSFER_TIMEOUT_MS, (signal) =>
+          client.changes.query({ base, packed: true }, { signal }),
         );
         // tRPC infers the types of JSON, but the codec of these frames keeps byte arrays.
         return message && heads.applyPeerDelta(message as DeltaMessage, this.peer.id);
@@ -216,10 +238,8 @@
     const changes = await heads.changesSince(request);
     if (!changes) return;
     const message = { ...changes, from: members.self.id };
-    await awaitResponse(
-      ended,
-      (signal) => client.deliver.mutate(message, { signal }),
-      TRANSFER_TIMEOUT_MS,
+    await withStallAwareTimeout([ended], TRANSFER_TIMEOUT_MS, (signal) =>
+      client.deliver.mutate(message, { signal }),
     );
   }
 
@@ -229,7 +249,7 @@
     this.currentStage = 'sync';
     const request = { buckets: members.buckets() };
     gossip.meter.add('syncs');
-    const { differing, records } = await awaitResponse(ended, (signal) =>
+    const { differing, records } = await this.awaitResponse(ended, (signal) =>
       client.sync.mutate(request, { signal }),
     );
     gossip.receive(records, this.peer.id);
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -101,9 +101,12 @@
    * @param signal - Cancels the read.
    * @returns The newest configuration published since `from`; none if none was published in time.
    * @throws LogExpiredError - The store no longer retains `from`.
+   * @throws LogTimeoutError - The store did not respond in time.
    * @throws LogUnavailableError - The read failed.
    */
   changes(from: Offset, waitMs: number, signal: AbortSignal): Promise<ConfigurationBatch>;
+  /** Makes the next read use a new connection; reads under way go on. */
+  reconnect(): void;
 }
 
 /** Id and address of a daemon that can supply the member list. */
--- a/src/connection/withStallAwareTimeout.ts
+++ b/src/connection/withStallAwareTimeout.ts
@@ -31,6 +31,16 @@
   }
 }
 
+/**
+ * Waits for some time, without that for which this process stalled. After it, all data that had arrived is read.
+ *
+ * @param ms - Time to wait, in milliseconds.
+ * @param signal - Ends the wait early.
+ */
+export function stallAwareSleep(ms: number, signal: AbortSignal): Promise<void> {
+  return new IdleSleeps().sleep(ms, signal);
+}
+
 /**
  * Runs a request with a timeout that excludes stalls of this process: after a stall, the response may
  * have arrived without having been read.
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -27,6 +27,7 @@
 import PeerHeadTracker from '../connection/PeerHeadTracker';
 import { createPeerRouter } from '../connection/peerRouter';
 import probeDaemon from '../connection/probeDaemon';
+import ReaderDoubt from '../connection/ReaderDoubt';
 import SocketMeter from '../connection/SocketMeter';
 import type {
   ContactStore,
@@ -163,6 +164,7 @@
   core: Core,
   members: MemberTable,
   heads: PeerHeadTracker,
+  doubt: ReaderDoubt,
 ): ConfigurationSource {
   const { settings, resources, clock, random, meter, logger } = core;
   const {
@@ -181,6 +183,7 @@
       members,
       mergePublication,
       readerOptions,
+      doubt,
       clock,
       random,
       logger('log'),
@@ -220,6 +223,7 @@
   core: Core,
   members: MemberTable,
   heads: PeerHeadTracker,
+  doubt: ReaderDoubt,
 ): ConfigurationSource {
   const { settings, resources, clock, random, meter, logger } = core;
   const {
@@ -238,6 +242,7 @@
       heads,
       members,
       { readersPerZone, readerZones, staleMs },
+      doubt,
       clock,
       random,
       logger('store'),
@@ -261,13 +266,18 @@
   const versions = resources.add(new VersionStore(merge, clock));
   const heads = resources.add(new PeerHeadTracker(versions, clock, logger('configuration')));
   const wireSource = settings.log.kind === 'platform' ? wirePlatform : wireStreams;
-  return { versions, heads, source: wireSource(core, members, heads) };
+  const doubt = resources.add(new ReaderDoubt(clock));
+  return { versions, heads, doubt, source: wireSource(core, members, heads, doubt) };
 }
 
 type ConfigurationComponents = ReturnType<typeof wireConfiguration>;
 
 /** Creates the links to other daemons and the discovery of the first peers. */
-function wirePeers(core: Core, members: MemberTable, { heads, source }: ConfigurationComponents) {
+function wirePeers(
+  core: Core,
+  members: MemberTable,
+  { heads, source, doubt }: ConfigurationComponents,
+) {
   const { settings, resources, clock, random, meter, logger } = core;
   const gossip = resources.add(new Gossip(members, heads, clock, logger('peer')));
   const fetchLease = new FetchLease(clock);
@@ -279,6 +289,8 @@
     gossip,
     fetchLease,
     meter,
+    clock,
+    doubt,
     logger: logger('peer'),
     heartbeatIntervalMs,
   };
--- a/stand-in/TcpProxy.ts
+++ b/stand-in/TcpProxy.ts
@@ -7,8 +7,8 @@
 }
 
 /**
- * TCP proxy in front of one address that can simulate a network fault: connections that are open at
- * that moment go silent for good, while new ones work.
+ * TCP proxy in front of one address that can simulate network faults: connections that are open at
+ * that moment go silent for good, while new ones work; or no byte passes any more.
  */
 export default class TcpProxy {
   private readonly server: Server;
@@ -17,6 +17,8 @@
 
   private target = '';
 
+  private isCut = false;
+
   public constructor() {
     this.server = createServer((inbound) => this.proxy(inbound));
   }
@@ -56,6 +58,12 @@
     return count;
   }
 
+  /** Stops forwarding on all open and further connections, without closing or refusing them. */
+  public cut(): void {
+    this.isCut = true;
+    this.silenceOpenConnections();
+  }
+
   public dispose(): void {
     this.server.close();
     for (const { inbound, outbound } of this.pairs) {
@@ -69,6 +77,11 @@
       inbound.destroy();
       return;
     }
+    if (this.isCut) {
+      inbound.on('error', () => undefined);
+      inbound.resume();
+      return;
+    }
     const [host, port] = this.target.split(':');
     const outbound = connect({ host, port: Number(port), noDelay: true });
     inbound.setNoDelay(true);
