Refuse a request without a route for now while a newer version is awaited

Cause: every daemon heard of the version within 0.3 to 0.7 s, and then validated it for 1.2 to 5 s (tookMs), as 88 processes share eight cores: 0.22 s of processor time each. In that time it knew of a newer version and yet answered a final 404, which no caller repeats, as if it knew that there is no such route.

Change: while a newer version is known that is neither in force nor refused, such a request gets 503 and a time to come back. Its caller finds the route there, or a 404 that is true.

The new test of callerPipeline.test got 404 before. That the validation takes seconds there is another matter.

--- a/src/connection/PeerHeadTracker.test.ts
+++ b/src/connection/PeerHeadTracker.test.ts
@@ -78,8 +78,12 @@
     [tracker.knowledge.version, tracker.newestVersionHeard, tracker.behindMs, tracker.refusedCount],
     [5, 9, 400, 2],
   );
+  assert.not(tracker.awaitsNewerVersion, 'a refused version never comes into force');
+  tracker.observeHeartbeat(heartbeat(11));
+  assert.ok(tracker.awaitsNewerVersion);
   await tracker.applyLogHead(head(11, 3), 12 as Offset, true);
   assert.equal([tracker.refusedHead, tracker.behindMs], [undefined, 0]);
+  assert.not(tracker.awaitsNewerVersion);
   assert.snapshot(
     lines.join('\n'),
     `A version came into force. {"version":3,"before":null,"through":4,"source":"store","files":2,"behindMs":0,"confirmedAgoMs":null,"tookMs":0}
--- a/src/connection/PeerHeadTracker.ts
+++ b/src/connection/PeerHeadTracker.ts
@@ -94,6 +94,12 @@
     return this.newestHeard;
   }
 
+  /** Whether the newest known version is neither in force here nor refused. */
+  public get awaitsNewerVersion(): boolean {
+    const settled = Math.max(this.version ?? -1, this.rejectedHead?.version ?? -1);
+    return (this.newestHeard ?? -1) > settled;
+  }
+
   /** Time in ms since a version newer than the one in force was first heard of; 0 if there is none. */
   public get behindMs(): number {
     return this.behindSince === undefined ? 0 : this.clock.now() - this.behindSince;
--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -65,6 +65,9 @@
 
   public readonly callers: Socket[] = [];
 
+  /** Whether a newer version of the configuration is known than the one in force. */
+  public awaitsNewerVersion = false;
+
   public readonly accepted: Socket[] = [];
 
   /** Functions that respond to the requests at the upstream, by the path of the request. */
@@ -77,7 +80,8 @@
     const target = { service: 's', weight: 1 };
     Object.assign(route, { targets: [target] });
     const snapshot = {
-      match: () => route,
+      match: (_method: string, _host: string, path: string) =>
+        path.startsWith('/unknown') ? undefined : route,
       head: { version: 1 },
       configuration: { services: new Map([['s', { name: 's', slots: 1 }]]), retryBudget: 1 },
       shortestObjectiveMs: 60_000,
@@ -111,6 +115,7 @@
       acceptedAfterMs: () => 0,
       positionOf: (response: never) => listener.positionOf(response),
       isCurrent: () => true,
+      awaitsNewerVersion: () => this.awaitsNewerVersion,
       lagMs: () => 0,
       waitedMs: () => 0,
       incarnation: () => 1,
@@ -525,6 +530,27 @@
     assert.equal(await seen, ['413 Payload Too Large: , close']);
   }));
 
+// Guards against a final 404 for a route of a version that this daemon is still validating.
+test('a request that matches no route is refused for now while a newer version is awaited', () =>
+  withPipeline(async (pipeline) => {
+    const answer = async () => {
+      const caller = await pipeline.connectCaller(get('/unknown', 'Connection: close\r\n'));
+      return (await text(caller)).split('\r\n').filter((line) => /^HTTP|^retry-after/i.test(line));
+    };
+    const before = await answer();
+    pipeline.awaitsNewerVersion = true;
+    const meanwhile = await answer();
+    pipeline.awaitsNewerVersion = false;
+    assert.equal(
+      [before, meanwhile, await answer()],
+      [
+        ['HTTP/1.1 404 Not Found'],
+        ['HTTP/1.1 503 Service Unavailable', 'retry-after: 0.000'],
+        ['HTTP/1.1 404 Not Found'],
+      ],
+    );
+  }));
+
 test('a stop closes only idle connections', () =>
   withPipeline(async (pipeline) => {
     const idle = await pipeline.connectCaller(get('/a'));
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -412,7 +412,7 @@
 function wireCalls(
   { settingsHolder, settings, clock, random, lag, names, logger }: Core,
   members: MemberTable,
-  versions: VersionStore,
+  { versions, heads }: ConfigurationComponents,
   { balancer, transport }: UpstreamComponents,
   metrics: DaemonMetrics,
   readiness: Readiness,
@@ -455,6 +455,7 @@
     acceptedAfterMs: (socket) => acceptDelays.takeMaxDelayMs(socket),
     positionOf: (response) => listener.positionOf(response),
     isCurrent: () => readiness.isCurrent,
+    awaitsNewerVersion: () => heads.awaitsNewerVersion,
   });
 }
 
@@ -516,7 +517,7 @@
   const calls = wireCalls(
     core,
     members,
-    versions,
+    configuration,
     upstreams,
     metrics,
     readiness,
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -74,6 +74,8 @@
   readonly positionOf: (response: ServerResponse) => PipelinePosition;
   /** Whether the configuration in force is confirmed to be no older than that of other daemons. */
   readonly isCurrent: () => boolean;
+  /** Whether a newer version of the configuration is known, which may come into force here. */
+  readonly awaitsNewerVersion: () => boolean;
 }
 
 /** Fields collected for the log line of a call. */
@@ -251,6 +253,11 @@
     if (!route) {
       const refusal = this.noRoute();
       if (refusal.status === 503) throw new NotRunError(refusal.reason, { daemonNotReady: true });
+      if (this.services.awaitsNewerVersion()) {
+        throw new NotRunError(
+          'no route matches, but a newer configuration is not in force here yet',
+        );
+      }
       await this.refuse(refusal, message, response, record);
       return;
     }
