Parse each byte of an upstream's responses once

Reported by other operators, and shown here: while 12 callers asked an upstream that sends interim responses without end, 0 of 69 calls of others through the same daemon were answered in 3.5 s.

Causes: AnswerFilter parsed all held bytes anew for each response in them and each part that arrived (40 KB of a chunked response that comes byte by byte: 802 MB); and the HTTP client creates an error for each header beyond its limit until it has used up the bytes that it got.

Change: ResponseScanner parses each byte once, GrowingBuffer appends without copying what is there; interim responses aren't parsed; an endless head closes the connection before the client sees it; the client reads 4 KiB at a time.

--- a/src/request/AnswerFilter.ts
+++ b/src/request/AnswerFilter.ts
@@ -1,40 +1,27 @@
-import { HTTPParser } from 'http-parser-js';
 import type { RequestId } from '../common/Types';
+import GrowingBuffer from './GrowingBuffer';
+import ResponseScanner from './ResponseScanner';
 
 /**
  * Most bytes that are held back, in bytes. A longer response is left to the HTTP client, which ends
  * the connection if it belongs to another request.
  */
 const MAX_HELD_BYTES = 48 * 1024;
+/** Start of an interim response, which has no body; 101 starts another protocol. */
+const INTERIM_HEAD = /^HTTP\/1\.[01] 1(?!01)\d\d\b/;
 const HEAD_END = '\r\n\r\n';
 const HTTP_START = 'HTTP/';
 /** Ends lines for some parsers only. */
 const BARE_LINE_FEED = /(?:^|[^\r])\n/;
-const NO_BYTES = Buffer.alloc(0);
 /** Lowest status of a final response. */
 const MIN_FINAL_STATUS = 200;
 
-/** A response at the start of received bytes. */
-interface Message {
-  readonly status: number;
-  /** The request id that it echoes, if any. */
-  readonly echoedId: string | undefined;
-  /** Whether its head tells for certain where it ends. */
-  readonly isDelimited: boolean;
-  /** Number of its bytes; `undefined` if it isn't whole. */
-  readonly length: number | undefined;
-}
-
-/** The position of the parser in the bytes that it parses, which its typings leave out. */
-interface ParserPosition {
-  readonly offset: number;
-}
-
 /**
  * Removes the responses of other requests from the bytes of a connection to an upstream. The HTTP client
  * would take the first response for that of the request in progress, while the request's own response
  * may follow on the same connection.
  *
+ * Each byte is looked at once, however many responses the bytes hold and in whatever parts they arrive.
  * Bytes are held back only until the head of a response is complete. What isn't certain to be the
  * response of another request is passed on unchanged.
  */
@@ -42,15 +29,24 @@
   /** Id of the request whose response is awaited; `undefined` if bytes are passed on unchanged. */
   private awaitedId: RequestId | undefined;
 
-  private held: Buffer = NO_BYTES;
+  private readonly held = new GrowingBuffer();
+
+  /** Number of held bytes at the start of which no head ends. */
+  private searchedBytes = 0;
+
+  /** Scans the response of another request at the start of the held bytes; `undefined` before its head. */
+  private foreign: ResponseScanner | undefined;
 
   /**
    * @param idHeader - Name of the header that echoes the request id, in lower case.
    * @param onForeignAnswer - Called with the id of each response that is removed.
+   * @param onEndlessHead - Called if a head is longer than the HTTP client accepts; it must close the
+   * connection. The client itself would raise an error for each further header.
    */
   public constructor(
     private readonly idHeader: string,
     private readonly onForeignAnswer: (echoedId: string) => void,
+    private readonly onEndlessHead: () => void,
   ) {}
 
   /** @param id - Id of the request whose response comes next; `undefined` if it has none. */
@@ -64,13 +60,13 @@
    */
   public filter(chunk: Buffer): Buffer | undefined {
     if (this.awaitedId === undefined) return chunk;
-    this.held = this.held.length > 0 ? Buffer.concat([this.held, chunk]) : chunk;
+    this.held.append(chunk);
     const passed: Buffer[] = [];
     while (this.awaitedId !== undefined && this.held.length > 0) {
       const passedBytes = this.examine(this.awaitedId);
       if (passedBytes === undefined) break;
-      if (passedBytes > 0) passed.push(this.held.subarray(0, passedBytes));
-      this.held = this.held.subarray(passedBytes);
+      if (passedBytes > 0) passed.push(this.held.bytes.subarray(0, passedBytes));
+      this.drop(passedBytes);
     }
     if (passed.length === 0) return undefined;
     return passed.length === 1 ? passed[0] : Buffer.concat(passed);
@@ -82,61 +78,48 @@
    * @returns Number of bytes to pass on; `undefined` if the response isn't complete enough to decide.
    */
   private examine(awaitedId: RequestId): number | undefined {
-    const { held } = this;
-    const headEnd = held.indexOf(HEAD_END);
+    if (this.foreign) return this.examineForeign(this.foreign);
+    const { bytes } = this.held;
+    const headEnd = bytes.indexOf(HEAD_END, Math.max(0, this.searchedBytes - HEAD_END.length));
     if (headEnd < 0) {
-      const start = held.toString('latin1', 0, HTTP_START.length);
-      const mayBeHead = HTTP_START.startsWith(start) && held.length <= MAX_HELD_BYTES;
-      return mayBeHead ? undefined : this.passAll();
+      this.searchedBytes = bytes.length;
+      const start = bytes.toString('latin1', 0, HTTP_START.length);
+      if (!HTTP_START.startsWith(start)) return this.passAll();
+      if (bytes.length > MAX_HELD_BYTES) this.onEndlessHead();
+      return undefined;
     }
-    const head = held.toString('latin1', 0, headEnd);
+    const head = bytes.toString('latin1', 0, headEnd);
     if (head.includes(awaitedId) || BARE_LINE_FEED.test(head)) return this.passAll();
-    const message = this.parse();
-    if (!message) return this.passAll();
-    if (message.status < MIN_FINAL_STATUS) return message.length ?? this.passAll();
-    if (message.echoedId === undefined || !message.isDelimited) return this.passAll();
-    if (message.length === undefined) {
-      return held.length > MAX_HELD_BYTES ? this.passAll() : undefined;
+    const headBytes = headEnd + HEAD_END.length;
+    if (INTERIM_HEAD.test(head)) return headBytes;
+    const scanner = new ResponseScanner(this.idHeader);
+    scanner.scan(bytes.subarray(0, headBytes));
+    if (!scanner.head || scanner.head.status < MIN_FINAL_STATUS) return this.passAll();
+    if (scanner.head.echoedId === undefined || !scanner.head.isDelimited) return this.passAll();
+    this.foreign = scanner;
+    return this.examineForeign(scanner);
+  }
+
+  private examineForeign(scanner: ResponseScanner): number | undefined {
+    scanner.scan(this.held.bytes);
+    const { head, length } = scanner;
+    if (length === undefined) {
+      return this.held.length > MAX_HELD_BYTES ? this.passAll() : undefined;
     }
-    this.held = held.subarray(message.length);
-    this.onForeignAnswer(message.echoedId);
+    this.drop(length);
+    this.onForeignAnswer(head!.echoedId!);
     return 0;
   }
 
+  /** Removes bytes from the start; what follows is another response. */
+  private drop(count: number): void {
+    this.held.drop(count);
+    this.searchedBytes = 0;
+    if (count > 0) this.foreign = undefined;
+  }
+
   private passAll(): number {
     this.awaitedId = undefined;
     return this.held.length;
   }
-
-  /** Parses the first response in the held bytes. */
-  private parse(): Message | undefined {
-    const parser = new HTTPParser(HTTPParser.RESPONSE);
-    let head: Omit<Message, 'length'> | undefined;
-    let length: number | undefined;
-    parser[HTTPParser.kOnBody] = () => undefined;
-    parser[HTTPParser.kOnHeaders] = () => undefined;
-    parser[HTTPParser.kOnHeadersComplete] = ({ statusCode, headers }) => {
-      if (head) return;
-      const hasLength = AnswerFilter.valueOf(headers, 'content-length') !== undefined;
-      const hasCoding = AnswerFilter.valueOf(headers, 'transfer-encoding') !== undefined;
-      head = {
-        status: Number(statusCode),
-        echoedId: AnswerFilter.valueOf(headers, this.idHeader),
-        isDelimited: hasLength !== hasCoding,
-      };
-    };
-    parser[HTTPParser.kOnMessageComplete] = () => {
-      length ??= (parser as unknown as ParserPosition).offset;
-    };
-    parser.execute(this.held);
-    return head && { ...head, length };
-  }
-
-  /** The value of a header in a list of alternating names and values. */
-  private static valueOf(headers: readonly string[], name: string): string | undefined {
-    const index = headers.findIndex(
-      (text, position) => position % 2 === 0 && text.toLowerCase() === name,
-    );
-    return index < 0 ? undefined : headers[index + 1];
-  }
 }
--- a/src/request/ConnectionMeter.ts
+++ b/src/request/ConnectionMeter.ts
@@ -35,7 +35,11 @@
    * client consumes received data.
    */
   public enforceLimit(): void {
-    if (this.consumedBytes - this.consumedAtReset <= MAX_NON_BODY_BYTES) return;
+    if (this.consumedBytes - this.consumedAtReset > MAX_NON_BODY_BYTES) this.closeConnection();
+  }
+
+  /** Closes the connection, as it receives an endless stream of bytes outside of response bodies. */
+  public closeConnection(): void {
     // On a `SocketError` the HTTP client sends requests that are still queued over another
     // connection.
     this.socket.destroy(
--- a/src/request/UpstreamConnection.ts
+++ b/src/request/UpstreamConnection.ts
@@ -18,6 +18,11 @@
 
 /** Most bytes of header names and values in a response; the default of Node.js. */
 const MAX_HEADER_BYTES = 16 * 1024;
+/**
+ * Most bytes that the HTTP client gets at a time. It raises an error for each header beyond its limit, and
+ * only what it already has of them can follow after it has closed the connection.
+ */
+const MAX_READ_BYTES = 4 * 1024;
 /**
  * Bytes that are written to find out whether a connection was reset: an empty line, which HTTP
  * servers ignore before a request.
@@ -130,11 +135,14 @@
 
   private attach(socket: Socket): void {
     const meter = new ConnectionMeter(socket);
-    const filter = new AnswerFilter(this.options.idHeader, (echoedId) => {
+    const onForeignAnswer = (echoedId: string) => {
       // An upstream that repeats a response may do so again.
       this.retire();
       this.onForeignAnswer(echoedId);
-    });
+    };
+    const filter = new AnswerFilter(this.options.idHeader, onForeignAnswer, () =>
+      meter.closeConnection(),
+    );
     this.socket = socket;
     this.meter = meter;
     this.filter = filter;
@@ -151,18 +159,20 @@
     });
   }
 
-  /** Makes the HTTP client, which reads a socket by `read`, receive filtered bytes. */
+  /** Makes the HTTP client, which reads a socket by `read`, receive filtered bytes, a few at a time. */
   private static filterReads(socket: Socket, filter: AnswerFilter): void {
     const read = socket.read.bind(socket);
     Object.defineProperty(socket, 'read', {
       value: (size?: number): Buffer | null => {
         // The stream itself reads 0 bytes to start further input.
         if (size !== undefined) return read(size) as Buffer | null;
-        for (;;) {
-          const chunk = read() as Buffer | null;
+        while (!socket.destroyed) {
+          const available = Math.min(socket.readableLength, MAX_READ_BYTES);
+          const chunk = (available > 0 ? read(available) : read()) as Buffer | null;
           const passed = chunk ? filter.filter(chunk) : null;
           if (passed !== undefined) return passed;
         }
+        return null;
       },
     });
   }
