Register an upstream at once if it started with its daemon

Change: an upstream that started less than a second before the daemon's process, or after it, can't have been withdrawn by an earlier one and needs no wait; after the first peer that knows nothing 0.3 s are waited, not 1 s.

--- a/src/process/StartupRecall.ts
+++ b/src/process/StartupRecall.ts
@@ -6,7 +6,7 @@
  * Time in ms after the first answer of a peer that knew no earlier record of this daemon. In that time others
  * answer that may know one, such as those that weren't restarted at the same time.
  */
-const FURTHER_ANSWERS_MS = 1_000;
+const FURTHER_ANSWERS_MS = 300;
 
 /**
  * Decides when this process knows what earlier processes of its daemon acknowledged: once a peer returned an
--- a/src/process/UpstreamRegistration.test.ts
+++ b/src/process/UpstreamRegistration.test.ts
@@ -110,6 +110,7 @@
     leaseMs: LEASE_MS,
     clock,
     timeOfDay: () => timeOfDay.offsetMs + clock.now(),
+    processStartedAt: EPOCH_MS,
     logger: { log: () => undefined },
   });
   const lines: string[] = [];
@@ -306,6 +307,23 @@
   members.dispose();
 });
 
+// Guards against an outage of all upstreams after their VMs regained power together.
+test('an upstream that started with its daemon is registered at once', () => {
+  const recall = new StartupRecall('coq-1' as DaemonId);
+  const { registration, members, lines, step } = registrationOf(undefined, 1, recall);
+  const announce = (startedAt: number) => () =>
+    void registration.announce(announcementOf('i-1', 1, { startedAt }));
+  step('two seconds before', announce(EPOCH_MS - 2_000));
+  step('half a second before', announce(EPOCH_MS - 500));
+  assert.snapshot(
+    lines.join('\n'),
+    `two seconds before: null none null
+half a second before: stock serving 9`,
+  );
+  registration.dispose();
+  members.dispose();
+});
+
 test('a withdrawal is acknowledged only if it is kept outside of the process', async () => {
   const { registration, members, kept, keeper } = registrationOf();
   const drain = (sequence: number) =>
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -26,6 +26,12 @@
  */
 const MAX_QUEUED_PER_SLOT = 8;
 
+/**
+ * Time in ms before the start of this process in which no upstream can have started that has left again already;
+ * a VM that regains power starts its upstream and its daemon together.
+ */
+const START_SLACK_MS = 1_000;
+
 /** State of the upstream that holds the lease. */
 interface RegisteredUpstream {
   announcement: Announcement;
@@ -65,6 +71,8 @@
   readonly clock: Clock;
   /** Current time of day, in milliseconds since the epoch. */
   readonly timeOfDay: () => number;
+  /** Time of day at which this process started, in milliseconds since the epoch. */
+  readonly processStartedAt: number;
   readonly logger: Logger;
 }
 
@@ -173,13 +181,19 @@
     if (before && this.registered?.upstream && this.isForeign(announcement, before)) {
       return 'it names an unknown service at another address';
     }
-    if (instance !== undefined && state !== 'draining' && !this.services.recall.isComplete) {
+    if (instance !== undefined && state !== 'draining' && this.mayHaveWithdrawn(startedAt)) {
       if (!this.deferred || !isStale(announcement, this.deferred)) this.deferred = announcement;
       return 'neither a peer nor the store has answered since the start';
     }
     return undefined;
   }
 
+  /** Whether an earlier process of this daemon may have acknowledged that an upstream process withdrew. */
+  private mayHaveWithdrawn(startedAt = 0): boolean {
+    const { recall, processStartedAt } = this.services;
+    return !recall.isComplete && startedAt < processStartedAt - START_SLACK_MS;
+  }
+
   private announceDeferred(): void {
     const { deferred } = this;
     this.deferred = undefined;
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -332,6 +332,7 @@
       leaseMs: settings.upstream.lease,
       clock,
       timeOfDay: () => Date.now(),
+      processStartedAt: Date.now() - performance.now(),
       logger: logger('upstream'),
     }),
   );
