--- a/src/version/parseRoute.ts
+++ b/src/version/parseRoute.ts
@@ -29,8 +29,8 @@
 }
 
 /**
- * Validates a `[route.NAME]` table. Of routes that differ in nothing but their paths, all but the first cost a
- * tenth of a full validation; a version may add thousands of them.
+ * Validates a `[route.NAME]` table. Of routes that differ in nothing but their paths, only the first is
+ * validated in full; a version may add thousands of them.
  *
  * @param value - The table.
  * @returns The result of `routeSchema`.
