Count the calls of each route by result, with the time in each stage

A line for each call is limited to 50 a second of a kind: in an overload it leaves out most refusals, and no line told how long runs hold a slot. The counts tell the hypotheses of the incident apart: by which decision calls of a route are refused, and whether they are late in the accept queue, in reading, at the upstream's queue, in its run or in its inner calls, which are calls of their own routes at its daemon. The test of replaced connections expects the new line too.

--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -15,6 +15,7 @@
 import RequestError from './RequestError';
 import type RetryAdvice from './RetryAdvice';
 import RetryBudget, { type RetryAllowance } from './RetryBudget';
+import RouteStatistics from './RouteStatistics';
 import awaitPendingCloses from './awaitPendingCloses';
 import TrafficSplitter from './TrafficSplitter';
 import StopGuard from './StopGuard';
@@ -86,6 +87,8 @@
   requestId?: RequestId;
   route?: string;
   service?: string;
+  /** Latency objective of the route, in milliseconds. */
+  objectiveMs?: number;
   allowedMs?: number;
   /** Longest time in milliseconds that the request may have waited to be read. */
   waitedMs?: number;
@@ -114,12 +117,15 @@
 
   private readonly stopGuard: StopGuard;
 
+  private readonly statistics: RouteStatistics;
+
   /** Resolves the promise of `whenIdle`, which waits for all calls to finish. */
   private resolveIdle: (() => void) | undefined;
 
   /** @param services - Configuration, limits, hooks and other dependencies of the handler. */
   public constructor(private readonly services: CallHandlerServices) {
     this.stopGuard = new StopGuard(services.clock);
+    this.statistics = new RouteStatistics('Calls of a route.', services.logger, services.clock);
   }
 
   /** Number of calls in progress. */
@@ -211,6 +217,7 @@
       const durationMs = this.services.clock.now() - startedAt - (record.heldMs ?? 0);
       this.services.onCallEnd({ outcome: record.outcome, status: response.statusCode, durationMs });
       this.log(record, response.statusCode, durationMs);
+      this.recordStatistics(record, durationMs);
       void position.whenSent().then(() => {
         this.unsentCount -= 1;
         if (this.isIdle) this.resolveIdle?.();
@@ -262,6 +269,8 @@
       return;
     }
     const service = this.trafficSplitter.next(route);
+    const { name, objectiveMs } = route;
+    Object.assign(record, { route: name, service, objectiveMs });
     const noUpstream = this.noUpstream(route, service);
     if (noUpstream) throw new NotRunError(noUpstream.reason, { daemonNotReady: true });
     await this.dispatch(message, response, request, this.policyFor(route, service), record);
@@ -304,12 +313,7 @@
     const times = { deadline, objective: arrivedAt + policy.route.objectiveMs };
     const budget = this.budget(policy.service.name);
     const call = new Call(request, policy, this.services, budget, times, attempts);
-    Object.assign(record, {
-      route: policy.route.name,
-      service: policy.service.name,
-      allowedMs: Math.round(allowedMs),
-      call,
-    });
+    Object.assign(record, { allowedMs: Math.round(allowedMs), call });
     const answer = await this.withDeadline(message, leftMs, (signal) => call.run(signal));
     this.stopGuard.recordDuration(policy.route, clock.now() - arrivedAt);
     const writable = await this.waitUntilWritable(message, response, record);
@@ -423,6 +427,23 @@
     });
   }
 
+  private recordStatistics(record: CallLogRecord, durationMs: number): void {
+    const acceptMs = record.acceptedAfterMs ?? 0;
+    const readMs = record.waitedMs ?? 0;
+    const attemptsMs = (record.call?.traces ?? []).map(({ elapsedMs }) => elapsedMs);
+    this.statistics.record({
+      route: record.route,
+      result: record.reason ?? record.outcome,
+      isLate: acceptMs + readMs + durationMs > (record.objectiveMs ?? Infinity),
+      stagesMs: {
+        accept: acceptMs,
+        read: readMs,
+        ...(attemptsMs.length > 0 && { longestAttempt: Math.max(...attemptsMs) }),
+        total: durationMs,
+      },
+    });
+  }
+
   /** Route, service and retry budget for a call, from the configuration version in force. */
   private policyFor(route: Route, service: ServiceName): CallPolicy {
     const { configuration } = this.services.versions.snapshot!;
--- a/src/request/LocalUpstream.test.ts
+++ b/src/request/LocalUpstream.test.ts
@@ -147,7 +147,10 @@
   clock.advance(20_000);
   cancel.abort(CALLER_LEFT);
   assert.is(await cancelled, 'cancelled');
-  assert.equal(lines, ['Renewed the connections to the upstream.']);
+  assert.equal(lines, [
+    'Renewed the connections to the upstream.',
+    'Runs of a route at the upstream.',
+  ]);
   responders.get('/running')!();
   assert.is(await bodyOf(await running), 'whole');
   upstream.dispose();
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -7,6 +7,7 @@
 import exchange from './exchange';
 import ExchangeError from './ExchangeError';
 import NotRunError from './NotRunError';
+import RouteStatistics from './RouteStatistics';
 import awaitPendingCloses from './awaitPendingCloses';
 import type StreamedAnswer from './StreamedAnswer';
 import type {
@@ -77,6 +78,8 @@
 
   private readonly matcher: AnswerMatcher;
 
+  private readonly statistics: RouteStatistics;
+
   /** Moving average of the share of calls that failed at the upstream, 0 to 1. */
   private failureShare = 0;
 
@@ -97,7 +100,8 @@
     public readonly address: Address,
     private readonly services: LocalUpstreamServices,
   ) {
-    const { clock } = services;
+    const { clock, logger } = services;
+    this.statistics = new RouteStatistics('Runs of a route at the upstream.', logger, clock);
     this.origin = `http://${address}`;
     this.connections = services.connect();
     this.matcher = new AnswerMatcher(services.names);
@@ -147,8 +151,10 @@
     context: AttemptContext,
     signal: CancelSignal,
   ): Promise<Answer> {
-    const { registry, waitedMs } = this.services;
+    const { registry, waitedMs, clock } = this.services;
     const { id } = context;
+    const arrivedAt = clock.now();
+    let startedAt: number | undefined;
     if (this.draining) throw new NotRunError('the upstream takes no new work');
     if (!registry.admit(id)) throw new NotRunError('the attempt was forbidden before it came');
     let mayHaveRun = false;
@@ -156,17 +162,21 @@
     try {
       const wasQueued = !this.admission.hasFreeSlot;
       const release = await this.admission.acquire(context, signal);
+      startedAt = clock.now();
       // After a long turn of the event loop, a queued call may get a slot although its caller has
       // closed the connection, as the close hasn't been read yet.
       if (wasQueued) await awaitPendingCloses(waitedMs());
-      const isLate = this.services.clock.now() >= context.deadline;
+      const isLate = clock.now() >= context.deadline;
       if (isLate || signal.aborted || this.draining || !registry.start(id)) {
         release(false);
         throw new NotRunError('the attempt was given up while it waited');
       }
       mayHaveRun = true;
-      return await this.dispatch(request, context, signal, release);
+      const answer = await this.dispatch(request, context, signal, release);
+      this.recordRun(context, arrivedAt, startedAt, String(answer.status));
+      return answer;
     } catch (error) {
+      this.recordRun(context, arrivedAt, startedAt, (error as Error).message);
       // A request that was never sent hasn't run, although it held a slot.
       registry.end(id, mayHaveRun && !(error instanceof NotRunError));
       this.endAttempt();
@@ -306,6 +316,25 @@
     this.services.logger.log('Renewed the connections to the upstream.', { address: this.address });
   }
 
+  /** Records how long an attempt waited for a slot, and how long it then took to be answered. */
+  private recordRun(
+    { route, objective }: AttemptContext,
+    arrivedAt: number,
+    startedAt: number | undefined,
+    result: string,
+  ): void {
+    const now = this.services.clock.now();
+    this.statistics.record({
+      route,
+      result,
+      isLate: now > objective,
+      stagesMs: {
+        queue: (startedAt ?? now) - arrivedAt,
+        ...(startedAt !== undefined && { run: now - startedAt }),
+      },
+    });
+  }
+
   private recordResult(failed: boolean): void {
     this.failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - this.failureShare);
   }
