Reject calls at their callers' daemon while their upstreams are full

In the second state each daemon beside an upstream refuses 284 to 620 calls a second, which takes its processor time; connections with the inner calls of its upstream wait 0.2 to 0.6 s to be accepted, so that runs hold their slots for 250 ms in place of 97 or fail, fewer slots come free, and more is refused: each call is offered up to six times, by three tries of its caller at two upstreams each. The state lasts when its cause is gone.

Change: each daemon offers calls of a route only as often as 1.25 times what was admitted of them in the last second (client-side adaptive throttling) and rejects the others at once, as not run, with the wait that the upstreams told. Only refusals for lack of slots count, by route and service.

--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -429,6 +429,7 @@
     balancer,
     transport,
     clock,
+    random,
     retryAdvice: new RetryAdvice(random),
     names,
     logger: logger('call'),
--- a/src/request/Call.test.ts
+++ b/src/request/Call.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import createThrottle from '../../stand-in/createThrottle';
 import ManualClock from '../../stand-in/ManualClock';
 import Call, { type CallServices, type CallPolicy } from './Call';
 import type CallChannels from './CallChannels';
@@ -118,7 +119,7 @@
   const request = { method, path: '/', headers: [], body: null } as unknown as CallRequest;
   const times = { deadline: 60_000, objective: 60_000 };
   const budget = new RetryBudget(allowance, clock);
-  const call = new Call(request, policy, services, budget, times, 0);
+  const call = new Call(request, policy, services, budget, createThrottle(), times, 0);
   const result = await call.run(new CancelController()).then(
     ({ status }) => String(status),
     ({ name }: Error) => name,
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -5,6 +5,7 @@
 import isIdempotent from './isIdempotent';
 import NotRunError from './NotRunError';
 import RETRYABLE_STATUSES from './retryableStatuses';
+import type AdaptiveThrottle from './AdaptiveThrottle';
 import type RetryBudget from './RetryBudget';
 import awaitPendingCloses from './awaitPendingCloses';
 import type {
@@ -137,6 +138,7 @@
    * @param policy - Route, service and retry budget that apply to the call.
    * @param services - Dependencies shared by all calls.
    * @param budget - Retry budget shared by all calls to the service.
+   * @param throttle - Limits the calls of the route while most are refused.
    * @param times - Deadline and end of the latency objective.
    * @param attemptsAbove - Number of attempts already made for calls further up the call chain.
    */
@@ -145,6 +147,7 @@
     private readonly policy: CallPolicy,
     private readonly services: CallServices,
     private readonly budget: RetryBudget,
+    private readonly throttle: AdaptiveThrottle,
     private readonly times: CallDeadlines,
     private readonly attemptsAbove: number,
   ) {
@@ -162,6 +165,12 @@
    */
   public async run(signal: CancelSignal): Promise<Answer> {
     if (signal.aborted) throw new NotRunError('the call was given up before it was begun');
+    if (this.throttle.shouldReject()) {
+      const { retryAfterMs } = this.throttle;
+      throw new NotRunError('most calls of the route are refused for lack of slots', {
+        ...(retryAfterMs !== undefined && { retryAfterMs }),
+      });
+    }
     this.budget.deposit(this.policy.retryBudget);
     // The call exists only because a call above it was repeated.
     if (this.attemptsAbove > 1) this.budget.chargeRepeat();
@@ -175,13 +184,19 @@
           tryNumber === 1 ? 'first' : 'retry',
         );
         if (RETRYABLE_STATUSES.has(answer.status)) await this.settlePendingCloses();
-        if (!this.mayRetryResponse(answer, signal)) return answer;
+        if (!this.mayRetryResponse(answer, signal)) {
+          this.throttle.recordAdmitted();
+          return answer;
+        }
         this.mayHaveRun = true;
         answer.dispose();
       } catch (error) {
         if (!(error instanceof CallError)) throw error;
         await this.settlePendingCloses();
-        if (!this.mayRetryError(error, tryNumber, signal)) throw this.finalError(error);
+        if (!this.mayRetryError(error, tryNumber, signal)) {
+          this.recordRefusal(error);
+          throw this.finalError(error);
+        }
       }
     }
   }
@@ -255,6 +270,13 @@
     this.retryAfterMs = Math.min(this.retryAfterMs ?? Infinity, retryAfterMs);
   }
 
+  /** Records in the throttle that the call was refused, unless that was for another reason than slots. */
+  private recordRefusal(error: CallError): void {
+    if (!(error instanceof NotRunError) || error.details.reachedUpstream) return;
+    const { retryAfterMs } = error.details;
+    if (retryAfterMs !== undefined) this.throttle.recordRefused(retryAfterMs);
+  }
+
   /** Error of the call after its last attempt failed; its message lists the daemons that were tried. */
   private finalError(error: CallError): CallError {
     const reason = `${error.message} (attempts: ${[...this.triedDaemons].join(', ') || 'none'})`;
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Logger, RequestId, ServiceName } from '../common/Types';
+import type { Logger, Random, RequestId, ServiceName } from '../common/Types';
 import type { CurrentVersion, Route } from '../version/Types';
+import AdaptiveThrottle from './AdaptiveThrottle';
 import Call, { type CallServices, type CallPolicy } from './Call';
 import { ATTEMPTS_HEADER, positiveHeader } from './callHeaders';
 import type CallError from './CallError';
@@ -66,6 +67,7 @@
   readonly logger: Logger;
   readonly onCallEnd: (report: CallReport) => void;
   readonly overloadGuard: OverloadGuard;
+  readonly random: Random;
   /**
    * Returns the longest time in milliseconds that a connection may have waited to be accepted; 0
    * from the second request on the connection on.
@@ -103,6 +105,9 @@
 export default class CallHandler {
   private readonly budgets = new Map<ServiceName, RetryBudget>();
 
+  /** Throttles by service and route, as the upstreams of one service of a split may be full alone. */
+  private readonly throttles = new Map<string, AdaptiveThrottle>();
+
   private readonly trafficSplitter = new TrafficSplitter();
 
   private active = 0;
@@ -238,6 +243,16 @@
     return budget;
   }
 
+  private throttle({ service, route }: CallPolicy): AdaptiveThrottle {
+    const key = `${service.name} ${route.name}`;
+    let throttle = this.throttles.get(key);
+    if (!throttle) {
+      throttle = new AdaptiveThrottle(this.services.clock, this.services.random);
+      this.throttles.set(key, throttle);
+    }
+    return throttle;
+  }
+
   private get isIdle(): boolean {
     return this.active === 0 && this.unsentCount === 0;
   }
@@ -312,7 +327,8 @@
     if (leftMs <= 0) throw new NotRunError('its time had passed before it was read');
     const times = { deadline, objective: arrivedAt + policy.route.objectiveMs };
     const budget = this.budget(policy.service.name);
-    const call = new Call(request, policy, this.services, budget, times, attempts);
+    const throttle = this.throttle(policy);
+    const call = new Call(request, policy, this.services, budget, throttle, times, attempts);
     Object.assign(record, { allowedMs: Math.round(allowedMs), call });
     const answer = await this.withDeadline(message, leftMs, (signal) => call.run(signal));
     this.stopGuard.recordDuration(policy.route, clock.now() - arrivedAt);
--- a/src/request/lateCloses.test.ts
+++ b/src/request/lateCloses.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import createThrottle from '../../stand-in/createThrottle';
 import ManualClock from '../../stand-in/ManualClock';
 import Call, { type CallServices, type CallPolicy } from './Call';
 import CALLER_LEFT from './callerLeft';
@@ -52,7 +53,7 @@
   } as unknown as CallServices;
   const budget = { deposit: () => undefined, withdraw: () => true } as unknown as RetryBudget;
   const times = { deadline: 60_000, objective: 60_000 };
-  const call = new Call(REQUEST, POLICY, services, budget, times, 0);
+  const call = new Call(REQUEST, POLICY, services, budget, createThrottle(), times, 0);
   const error = await call.run(cancel).catch((thrown: Error) => thrown);
   return { sent, error };
 }
--- a/src/request/powerLoss.test.ts
+++ b/src/request/powerLoss.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { setTimeout as delay } from 'node:timers/promises';
+import createThrottle from '../../stand-in/createThrottle';
 import ManualClock from '../../stand-in/ManualClock';
 import SystemClock from '../common/SystemClock';
 import type { Address } from '../common/Types';
@@ -91,7 +92,7 @@
   const cancel = new CancelController();
   const call = (method: string) => {
     const request = { method, path: '/', headers: [], body: null } as unknown as CallRequest;
-    void new Call(request, POLICY, services, budget, TIMES, 0).run(cancel).then(
+    void new Call(request, POLICY, services, budget, createThrottle(), TIMES, 0).run(cancel).then(
       ({ status }) => outcomes.push(`${method} ${status}`),
       ({ message }: Error) => outcomes.push(`${method}: ${message}`),
     );
--- a/src/request/silentDaemon.test.ts
+++ b/src/request/silentDaemon.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { setTimeout as delay } from 'node:timers/promises';
+import createThrottle from '../../stand-in/createThrottle';
 import BlockedDaemon from '../../stand-in/BlockedDaemon';
 import SystemClock from '../common/SystemClock';
 import type { Address } from '../common/Types';
@@ -113,6 +114,7 @@
     POLICY,
     services,
     retryBudget as unknown as RetryBudget,
+    createThrottle(),
     times,
     nestingAttempts,
   );
