Give the caller pipeline of the test the random numbers that calls need

Without them each call of the test ended in an internal error since the throttle came in, and the test never ended.

--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -9,6 +9,7 @@
 import { text } from 'node:stream/consumers';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import SeededRandom from '../common/SeededRandom';
 import SystemClock from '../common/SystemClock';
 import type { Address } from '../common/Types';
 import CallHandler, { type CallHandlerServices } from '../request/CallHandler';
@@ -106,8 +107,9 @@
         ) => this.run(request.path, signal),
       },
       clock: new SystemClock(),
+      random: new SeededRandom(1),
       names: {},
-      limits: { maxBodyBytes: () => MAX_BODY_BYTES, maxOpenCalls: 1_000 },
+      limits: { maxBodyBytes: () => MAX_BODY_BYTES, maxHeldBytes: 1_000_000, maxOpenCalls: 1_000 },
       retryAllowance: { windowMs: () => 1, slack: () => 0, maxShare: () => 0 },
       logger: { log: () => undefined },
       onCallEnd: () => undefined,
