--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -109,7 +109,7 @@
       clock: new SystemClock(),
       random: new SeededRandom(1),
       names: {},
-      limits: { maxBodyBytes: () => MAX_BODY_BYTES, maxHeldBytes: 1_000_000, maxOpenCalls: 1_000 },
+      limits: { maxBodyBytes: () => MAX_BODY_BYTES, maxOpenCalls: 1_000 },
       retryAllowance: { windowMs: () => 1, slack: () => 0, maxShare: () => 0 },
       logger: { log: () => undefined },
       onCallEnd: () => undefined,
