--- a/src/request/AdaptiveThrottle.ts
+++ b/src/request/AdaptiveThrottle.ts
@@ -1,9 +1,10 @@
 import type { Clock, Random } from '../common/Types';
+import SlidingCounts from './SlidingCounts';
 
 /** Length of the sliding window in which calls are counted, in milliseconds. */
 const WINDOW_MS = 1_000;
 /** Number of equal intervals into which the sliding window is divided. */
-const BUCKETS = 10;
+const INTERVALS = 10;
 /**
  * Number of calls that are offered for each call that was admitted lately. It is above 1, so that more
  * calls are offered as soon as more are admitted.
@@ -13,12 +14,6 @@
 const MIN_CALLS = 10;
 const RANDOM_STEPS = 1_000;
 
-interface Bucket {
-  readonly index: number;
-  calls: number;
-  admitted: number;
-}
-
 /**
  * Rejects part of the calls of one route at the daemon of their callers, while most of them are refused
  * for lack of slots.
@@ -31,7 +26,7 @@
  * @see {@link https://sre.google/sre-book/handling-overload/#eq2101}
  */
 export default class AdaptiveThrottle {
-  private readonly buckets: Bucket[] = [];
+  private readonly counts: SlidingCounts<'call' | 'admitted'>;
 
   private latestRetryAfterMs: number | undefined;
 
@@ -40,9 +35,11 @@
    * @param random - Random numbers that select the calls to reject.
    */
   public constructor(
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly random: Random,
-  ) {}
+  ) {
+    this.counts = new SlidingCounts(() => WINDOW_MS, INTERVALS, clock);
+  }
 
   /**
    * Milliseconds after which an upstream expects to have a free slot, from the latest refusal;
@@ -57,24 +54,18 @@
    * that is not rejected must be recorded.
    */
   public shouldReject(): boolean {
-    const current = this.currentBucket();
-    let calls = 0;
-    let admitted = 0;
-    for (const bucket of this.buckets) {
-      calls += bucket.calls;
-      admitted += bucket.admitted;
-    }
+    const calls = this.counts.total('call');
+    const admitted = this.counts.total('admitted');
     const share = (calls - OFFERS_PER_ADMITTED * admitted) / (calls + MIN_CALLS);
     const isRejected = this.random.below(RANDOM_STEPS) < share * RANDOM_STEPS;
-    if (isRejected) current.calls += 1;
+    if (isRejected) this.counts.add('call');
     return isRejected;
   }
 
   /** Records a call that got a slot. */
   public recordAdmitted(): void {
-    const bucket = this.currentBucket();
-    bucket.calls += 1;
-    bucket.admitted += 1;
+    this.counts.add('call');
+    this.counts.add('admitted');
   }
 
   /**
@@ -83,20 +74,7 @@
    * @param retryAfterMs - Milliseconds after which a slot is expected to be free.
    */
   public recordRefused(retryAfterMs: number): void {
-    this.currentBucket().calls += 1;
+    this.counts.add('call');
     this.latestRetryAfterMs = retryAfterMs;
   }
-
-  /** Drops the buckets older than the sliding window and returns the current one. */
-  private currentBucket(): Bucket {
-    const index = Math.floor((this.clock.now() * BUCKETS) / WINDOW_MS);
-    while (this.buckets.length > 0 && this.buckets[0]!.index <= index - BUCKETS) {
-      this.buckets.shift();
-    }
-    const last = this.buckets.at(-1);
-    if (last?.index === index) return last;
-    const bucket = { index, calls: 0, admitted: 0 };
-    this.buckets.push(bucket);
-    return bucket;
-  }
 }
--- a/src/request/RetryBudget.ts
+++ b/src/request/RetryBudget.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '../common/Types';
+import SlidingCounts from './SlidingCounts';
 
 /** Number of equal intervals into which the sliding window of the retry budget is divided. */
-const BUCKETS = 20;
+const INTERVALS = 20;
 /**
  * Fraction of the allowed retries that a daemon makes use of. The rest is a reserve, as the retries
  * of one daemon cause further retries at other daemons.
@@ -21,12 +22,6 @@
   readonly maxShare: () => number;
 }
 
-interface Bucket {
-  index: number;
-  calls: number;
-  retries: number;
-}
-
 /**
  * Limits the retries and hedges to one service to a share of its calls, in any window of the
  * configured length. Each daemon counts only its own calls; if each stays within its share, so does
@@ -36,14 +31,16 @@
  * would retry every failed call and double the load that caused the failures.
  */
 export default class RetryBudget {
-  private readonly buckets: Bucket[] = [];
+  private readonly counts: SlidingCounts<'call' | 'retry'>;
 
   private share = 0;
 
   public constructor(
     private readonly allowance: RetryAllowance,
-    private readonly clock: Clock,
-  ) {}
+    clock: Clock,
+  ) {
+    this.counts = new SlidingCounts(() => allowance.windowMs(), INTERVALS, clock);
+  }
 
   /**
    * Records a call.
@@ -52,40 +49,21 @@
    */
   public deposit(share: number): void {
     this.share = Math.min(share, this.allowance.maxShare());
-    this.currentBucket().calls += 1;
+    this.counts.add('call');
   }
 
   /** Records a call that is a repetition itself, as a call above it was repeated; it isn't refused. */
   public chargeRepeat(): void {
-    this.currentBucket().retries += 1;
+    this.counts.add('retry');
   }
 
   /** @returns Whether a retry or hedge is within the budget; if so, it is recorded as made. */
   public withdraw(): boolean {
-    const current = this.currentBucket();
-    let calls = 0;
-    let retries = 0;
-    for (const bucket of this.buckets) {
-      calls += bucket.calls;
-      retries += bucket.retries;
-    }
+    const calls = this.counts.total('call');
+    const retries = this.counts.total('retry');
     const allowed = USABLE_FRACTION * (this.share * calls + this.allowance.slack());
     if (retries + 1 > allowed) return false;
-    current.retries += 1;
+    this.counts.add('retry');
     return true;
   }
-
-  /** Drops the buckets older than the sliding window and returns the current one. */
-  private currentBucket(): Bucket {
-    const bucketMs = this.allowance.windowMs() / BUCKETS;
-    const index = Math.floor(this.clock.now() / bucketMs);
-    while (this.buckets.length > 0 && this.buckets[0]!.index <= index - BUCKETS) {
-      this.buckets.shift();
-    }
-    const last = this.buckets[this.buckets.length - 1];
-    if (last?.index === index) return last;
-    const bucket = { index, calls: 0, retries: 0 };
-    this.buckets.push(bucket);
-    return bucket;
-  }
 }
