Log when a restarted daemon knows its past and accepts callers

Nothing told by whom, or how long after the start, a daemon learned what earlier processes acknowledged, and when it began to accept callers. Both lines tell the hypotheses of the incident apart: waits that end with the outage of the store from waits for the processor.

--- a/src/process/Readiness.test.ts
+++ b/src/process/Readiness.test.ts
@@ -14,6 +14,7 @@
         hasReachablePeer: () => conditions.peer,
       },
       clock,
+      { log: () => undefined },
     );
   const confirmedByStore = createReadiness();
   const readySteps: boolean[] = [confirmedByStore.isReady];
--- a/src/process/StartupRecall.ts
+++ b/src/process/StartupRecall.ts
@@ -8,6 +8,12 @@
  */
 const FURTHER_ANSWERS_MS = 300;
 
+/** How it became known what earlier processes of this daemon acknowledged. */
+export type RecallEnd =
+  | 'a peer returned an earlier record'
+  | 'the peers that answered knew none'
+  | 'nobody is left to be asked';
+
 /**
  * Decides when this process knows what earlier processes of its daemon acknowledged: once a peer returned an
  * earlier member record, or nobody who could be asked has one. Until then a delayed announcement can't be told
@@ -15,7 +21,7 @@
  * has no configuration and gets no calls.
  */
 export default class StartupRecall implements Disposable {
-  private readonly completeEmitter = new Emitter<void>();
+  private readonly completeEmitter = new Emitter<RecallEnd>();
 
   private complete = false;
 
@@ -34,20 +40,29 @@
   /** @param records - Member records of a peer that differed from those of this daemon. */
   public receiveRecords(records: readonly MemberRecord[]): void {
     if (this.complete) return;
-    if (records.some(({ id }) => id === this.own)) this.end();
-    else this.timer ??= setTimeout(() => this.end(), FURTHER_ANSWERS_MS).unref();
+    if (records.some(({ id }) => id === this.own)) this.finish('a peer returned an earlier record');
+    else {
+      this.timer ??= setTimeout(
+        () => this.finish('the peers that answered knew none'),
+        FURTHER_ANSWERS_MS,
+      ).unref();
+    }
   }
 
   /** Records that nobody else is left to be asked; further calls have no effect. */
   public end(): void {
-    if (this.complete) return;
-    clearTimeout(this.timer);
-    this.complete = true;
-    this.completeEmitter.fire();
+    this.finish('nobody is left to be asked');
   }
 
   public dispose(): void {
     clearTimeout(this.timer);
     this.completeEmitter.dispose();
   }
+
+  private finish(reason: RecallEnd): void {
+    if (this.complete) return;
+    clearTimeout(this.timer);
+    this.complete = true;
+    this.completeEmitter.fire(reason);
+  }
 }
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -10,6 +10,7 @@
 import type { CurrentVersion, Service } from '../version/Types';
 import DepartedInstances from './DepartedInstances';
 import type StartupRecall from './StartupRecall';
+import type { RecallEnd } from './StartupRecall';
 import type { Announcement, Departure, UpstreamStatus } from './Types';
 import type WithdrawalKeeper from './WithdrawalKeeper';
 import Withdrawals from './Withdrawals';
@@ -124,7 +125,7 @@
     this.subscriptions = [
       services.versions.onActivate(() => this.applyConfiguration()),
       services.members.onRecall((withdrawals) => this.recall(withdrawals)),
-      services.recall.onComplete(() => this.announceDeferred()),
+      services.recall.onComplete((reason) => this.announceDeferred(reason)),
     ];
     this.leaseTimer = setInterval(() => this.expireLease(), LEASE_CHECK_INTERVAL_MS);
     this.leaseTimer.unref();
@@ -194,8 +195,14 @@
     return !recall.isComplete && startedAt < processStartedAt - START_SLACK_MS;
   }
 
-  private announceDeferred(): void {
+  private announceDeferred(reason: RecallEnd): void {
     const { deferred } = this;
+    const { logger, timeOfDay, processStartedAt } = this.services;
+    logger.log('Knows what earlier processes acknowledged.', {
+      reason,
+      sinceStartMs: Math.round(timeOfDay() - processStartedAt),
+      deferred: deferred?.instance,
+    });
     this.deferred = undefined;
     if (deferred) void this.announce(deferred);
   }
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -515,6 +515,7 @@
       hasReachablePeer: () => overlay.state.some(({ up }) => up),
     },
     clock,
+    logger('daemon'),
   );
   const calls = wireCalls(
     core,
