Let peers look for daemons that restarted while the store is away

Cause: a restarted daemon knows nobody. Its peers redial members that are alive and one suspect at random every eight seconds, never one that left or was declared dead. So it was alone until the store answered, though any peer could tell it what earlier processes acknowledged, and the configuration.

Both new tests of restartedDaemon.test timed out before (stopped, or declared dead, and started while the store was down).

--- a/src/connection/HashRings.ts
+++ b/src/connection/HashRings.ts
@@ -52,10 +52,35 @@
     return this.successor(WATCH_RING, self, members);
   }
 
-  /** @param live - Members whose cached ring positions are kept; all others are removed. */
-  public prune(live: ReadonlySet<DaemonId>): void {
+  /**
+   * The lost members that would be between this daemon and its successor on some ring. On each ring, every lost
+   * member has one daemon before it for which it is listed.
+   *
+   * @param self - Record of this daemon.
+   * @param members - Members that can be successors.
+   * @param lost - Members that can't.
+   */
+  public lostBefore(
+    self: MemberRecord,
+    members: readonly MemberRecord[],
+    lost: readonly MemberRecord[],
+  ): readonly MemberRecord[] {
+    const listed = new Set<MemberRecord>();
+    for (const ring of RINGS) {
+      const successor = this.successor(ring, self, members);
+      const limit = successor ? this.distance(ring, self, successor) : Infinity;
+      for (const member of lost) {
+        const isOnRing = !ring.withinZone || member.zone === self.zone;
+        if (isOnRing && this.distance(ring, self, member) < limit) listed.add(member);
+      }
+    }
+    return [...listed];
+  }
+
+  /** @param known - Members whose cached ring positions are kept; all others are removed. */
+  public prune(known: ReadonlySet<DaemonId>): void {
     for (const key of this.positions.keys()) {
-      if (!live.has(key.slice(key.indexOf('\n') + 1) as DaemonId)) this.positions.delete(key);
+      if (!known.has(key.slice(key.indexOf('\n') + 1) as DaemonId)) this.positions.delete(key);
     }
   }
 
@@ -64,14 +89,11 @@
     self: MemberRecord,
     members: readonly MemberRecord[],
   ): MemberRecord | undefined {
-    const own = this.position(ring, self.id);
     let next: MemberRecord | undefined;
     let nextDistance = Infinity;
     for (const member of members) {
       if (member.id === self.id || (ring.withinZone && member.zone !== self.zone)) continue;
-      const offset = this.position(ring, member.id) - own;
-      // Positions are 48-bit hashes, and the ring wraps around.
-      const distance = offset > 0 ? offset : offset + 2 ** 48;
+      const distance = this.distance(ring, self, member);
       if (distance < nextDistance) {
         next = member;
         nextDistance = distance;
@@ -80,6 +102,12 @@
     return next;
   }
 
+  private distance(ring: Ring, from: MemberRecord, to: MemberRecord): number {
+    const offset = this.position(ring, to.id) - this.position(ring, from.id);
+    // Positions are 48-bit hashes, and the ring wraps around.
+    return offset > 0 ? offset : offset + 2 ** 48;
+  }
+
   private position(ring: Ring, id: DaemonId): number {
     const key = `${ring.name}\n${id}`;
     let position = this.positions.get(key);
--- a/src/connection/Overlay.ts
+++ b/src/connection/Overlay.ts
@@ -1,5 +1,5 @@
 import PQueue from 'p-queue';
-import { jitteredBackoff, jitteredPeriod, type Backoff } from '../common/backoff';
+import { jitteredBackoff, type Backoff } from '../common/backoff';
 import pickRandom from '../common/pickRandom';
 import Emitter from '../common/Emitter';
 import sleep from '../common/sleep';
@@ -9,13 +9,13 @@
 import type PeerClient from './PeerClient';
 import PeerLink, { type LinkServices } from './PeerLink';
 import HashRings from './HashRings';
+import LostMemberSearch from './LostMemberSearch';
 import type { MemberRecord, RecordPublisher } from './Types';
 
 const RECONCILE_INTERVAL_MS = 500;
 const MAX_CONCURRENT_PROBES = 4;
 /** Number of peers that probe an unreachable member on behalf of this daemon. */
 const INDIRECT_PROBE_COUNT = 3;
-const SUSPECT_RETRY_PERIOD_MS = 8_000;
 /** Backoff before a link to a peer is opened again after links to it failed. */
 const REDIAL_BACKOFF: Backoff = { baseMs: 500, capMs: 15_000 };
 
@@ -49,11 +49,15 @@
 
   private readonly hashRings = new HashRings();
 
+  private readonly lostMembers: LostMemberSearch;
+
   /** Member whose late answers raise the doubt that the readers may be lost. */
   private watched: DaemonId | undefined;
 
   private readonly probeQueue = new PQueue({ concurrency: MAX_CONCURRENT_PROBES });
 
+  private readonly contactQueue = new PQueue({ concurrency: MAX_CONCURRENT_PROBES });
+
   private readonly syncEmitter = new Emitter<readonly MemberRecord[]>();
 
   /** Fires with the member records that a peer sent in a synchronisation, once they are merged. */
@@ -68,6 +72,7 @@
     private readonly random: Random,
   ) {
     this.services = { ...services, onSync: (records) => this.syncEmitter.fire(records) };
+    this.lostMembers = new LostMemberSearch(this.hashRings, clock, random);
   }
 
   /** State of each link that this daemon currently maintains. */
@@ -101,18 +106,21 @@
   }
 
   /**
-   * Periodically contacts a random suspect, so that the two sides of a network partition merge again
-   * after it heals.
+   * Contacts lost members, so that restarted daemons are found and the two sides of a network partition merge
+   * again after it heals.
    *
    * @param signal - Stops the task.
    */
-  public async contactSuspects(signal: AbortSignal): Promise<void> {
+  public async contactLost(signal: AbortSignal): Promise<void> {
     const { members } = this.services;
     while (!signal.aborted) {
-      await sleep(jitteredPeriod(SUSPECT_RETRY_PERIOD_MS, this.random), signal);
-      const suspects = members.live().filter(({ health }) => health === 'suspect');
-      const candidate = suspects[this.random.below(Math.max(suspects.length, 1))];
-      if (candidate && !signal.aborted) await this.introduce(candidate);
+      await sleep(RECONCILE_INTERVAL_MS, signal);
+      if (signal.aborted) return;
+      // Contacts that got no answer yet hold up further ones, but not the probes of members that fail.
+      if (this.contactQueue.size > 0) continue;
+      for (const member of this.lostMembers.takeDue(members.self, members.all())) {
+        void this.contactQueue.add(() => this.introduce(member));
+      }
     }
   }
 
@@ -190,7 +198,7 @@
     for (const member of successors.values()) if (!this.links.has(member.id)) this.open(member);
     const watchedLink = this.watched === undefined ? undefined : this.links.get(this.watched);
     if (watchedLink) watchedLink.link.isWatched = true;
-    this.hashRings.prune(new Set(live.map(({ id }) => id)));
+    this.hashRings.prune(new Set(members.all().map(({ id }) => id)));
   }
 
   /** Closes a link; it stays in `links` until its task has ended. */
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -334,6 +334,8 @@
   readonly onRecall: Event<readonly Withdrawal[]>;
   /** @returns Members that are neither dead nor gone, including this one. */
   live(): readonly MemberRecord[];
+  /** @returns All known members, including those that are dead or gone. */
+  all(): readonly MemberRecord[];
   get(id: DaemonId): MemberRecord | undefined;
   /**
    * Merges records received from a peer.
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -591,7 +591,7 @@
     tasks: [
       ...source.tasks,
       (signal) => overlay.run(signal),
-      (signal) => overlay.contactSuspects(signal),
+      (signal) => overlay.contactLost(signal),
       (signal) => joiner.run(signal),
     ],
     resources,
--- a/test/restartedDaemon.test.ts
+++ b/test/restartedDaemon.test.ts
@@ -25,6 +25,8 @@
   readonly daemons: DaemonProcess[];
   /** Kills some daemons at once and starts them again with the same settings. */
   readonly restart: (...indexes: readonly number[]) => Promise<void>;
+  /** Ends a daemon with a signal; returns a function that starts it again with the same settings. */
+  readonly end: (index: number, signal: NodeJS.Signals) => Promise<() => Promise<void>>;
   /** Sends a call of the upstream beside the first daemon; returns the status. */
   readonly send: (
     call: 'Heartbeat' | 'Leave',
@@ -83,13 +85,16 @@
       const url = `http://127.0.0.1:${port}/-/Instances.${call}/i-1`;
       return (await fetch(url, { method: 'POST', body })).status;
     };
+    const end: Mesh['end'] = async (index, signal) => {
+      const { listening } = daemons[index]!.ready;
+      await Fleet.stopProcess(daemons[index]!, signal);
+      return async () => {
+        daemons[index] = await startOne(index, listening);
+      };
+    };
     const restart: Mesh['restart'] = async (...indexes) => {
-      await Promise.all(indexes.map((index) => Fleet.stopProcess(daemons[index]!, 'SIGKILL')));
-      const restarted = indexes.map((index) => startOne(index, daemons[index]!.ready.listening));
-      const started = await Promise.all(restarted);
-      indexes.forEach((index, position) => {
-        daemons[index] = started[position]!;
-      });
+      const starts = await Promise.all(indexes.map((index) => end(index, 'SIGKILL')));
+      await Promise.all(starts.map((start) => start()));
     };
     assert.is(await send('Heartbeat', { seq: 2 }), 200);
     await eventually('the upstream serves', async () =>
@@ -99,7 +104,7 @@
       'the daemons have stored contacts',
       () => store.keys(CONTACTS_TOPIC).length >= 2,
     );
-    await run({ store, daemons, restart, send });
+    await run({ store, daemons, restart, end, send });
   } finally {
     await fleet.dispose();
     store.dispose();
@@ -175,4 +180,36 @@
   }),
 );
 
+/** Ends the first daemon, starts it again while the store is down, and waits until its upstream serves. */
+async function restartWithoutStore(
+  { store, daemons, end, send }: Mesh,
+  signal: NodeJS.Signals,
+  whileEnded: () => Promise<void>,
+): Promise<void> {
+  store.isDown = true;
+  const start = await end(0, signal);
+  await whileEnded();
+  await start();
+  assert.is(await send('Heartbeat', { seq: 3 }), 200);
+  await eventually('the upstream serves again', async () =>
+    (await statesAt(daemons)).every((state) => state === 'serving'),
+  );
+  await waitUntilInForce(1, daemons);
+}
+
+// Guards against an upstream that is out of use until the store answers, as nobody else finds its daemon.
+scenario('a daemon that was stopped and starts without the store is found by its peers', () =>
+  withMesh((mesh) => restartWithoutStore(mesh, 'SIGTERM', async () => undefined)),
+);
+
+scenario('a daemon that was declared dead and starts without the store is found by its peers', () =>
+  withMesh((mesh) =>
+    restartWithoutStore(mesh, 'SIGKILL', () =>
+      eventually('its peers declare it dead', async () =>
+        (await statesAt(mesh.daemons.slice(1))).every((state) => state === 'unknown'),
+      ),
+    ),
+  ),
+);
+
 test.run();
