Count calls of a route in fewer steps

The counts of each route by result and stage, taken for every call and run, built an entry of each stage anew and split each reason by an expression. They are updated in place now, with the same lines of the log.

--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -109,6 +109,9 @@
   /** Log records of the attempts made so far. */
   public readonly traces: AttemptTrace[] = [];
 
+  /** Duration of the attempt that took longest so far, in ms; `undefined` before the first has ended. */
+  public longestAttemptMs: number | undefined;
+
   /** Why no hedge was sent when one was due, for the log. */
   public unhedged: string | undefined;
 
@@ -376,6 +379,7 @@
       throw error;
     } finally {
       trace.elapsedMs = Math.round(clock.now() - startedAt);
+      this.longestAttemptMs = Math.max(this.longestAttemptMs ?? 0, trace.elapsedMs);
       balancer.end(upstream, this.policy.route.name, result);
     }
   }
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -446,7 +446,7 @@
   private recordStatistics(record: CallLogRecord, durationMs: number): void {
     const acceptMs = record.acceptedAfterMs ?? 0;
     const readMs = record.waitedMs ?? 0;
-    const attemptsMs = (record.call?.traces ?? []).map(({ elapsedMs }) => elapsedMs);
+    const { longestAttemptMs } = record.call ?? {};
     this.statistics.record({
       route: record.route,
       result: record.reason ?? record.outcome,
@@ -454,7 +454,7 @@
       stagesMs: {
         accept: acceptMs,
         read: readMs,
-        ...(attemptsMs.length > 0 && { longestAttempt: Math.max(...attemptsMs) }),
+        ...(longestAttemptMs !== undefined && { longestAttempt: longestAttemptMs }),
         total: durationMs,
       },
     });
--- a/src/request/RouteStatistics.ts
+++ b/src/request/RouteStatistics.ts
@@ -38,7 +38,8 @@
 
 /** Cuts the variable part off a reason, such as the names of daemons or an error of the system. */
 function withoutDetails(reason: string): string {
-  return reason.split(/[:(]/, 1)[0]!.trim();
+  const end = reason.search(/ *[:(]/);
+  return end < 0 ? reason : reason.slice(0, end);
 }
 
 function summarize(stages: ReadonlyMap<string, StageTotals>) {
@@ -85,13 +86,16 @@
     if (sample.isLate) totals.late += 1;
     const result = boundedKey(totals.results, withoutDetails(sample.result));
     totals.results.set(result, (totals.results.get(result) ?? 0) + 1);
-    for (const [name, ms] of Object.entries(sample.stagesMs)) {
-      const { count, sumMs, maxMs } = totals.stages.get(name) ?? { count: 0, sumMs: 0, maxMs: 0 };
-      totals.stages.set(name, {
-        count: count + 1,
-        sumMs: sumMs + ms,
-        maxMs: Math.max(maxMs, ms),
-      });
+    for (const name of Object.keys(sample.stagesMs)) {
+      const ms = sample.stagesMs[name]!;
+      let stage = totals.stages.get(name);
+      if (!stage) {
+        stage = { count: 0, sumMs: 0, maxMs: 0 };
+        totals.stages.set(name, stage);
+      }
+      stage.count += 1;
+      stage.sumMs += ms;
+      if (ms > stage.maxMs) stage.maxMs = ms;
     }
   }
 
