Let configurations declare organisations, keys, public routes and rollouts

Calls on routes that aren't public need the key of an organisation if the configuration holds any; its name is sent to upstreams, the key never is. Attempts carry the organisation and whether they are repeats. Rollouts are declared only; nothing acts on them yet. A folder without organisations is served as before.

--- a/src/common/Types.ts
+++ b/src/common/Types.ts
@@ -15,6 +15,12 @@
 export type ServiceName = Branded<string, 'ServiceName'>;
 /** Name of a route, as a `[route.NAME]` table declares it. */
 export type RouteName = Branded<string, 'RouteName'>;
+/** Name of an organisation, as an `[organisation.NAME]` table declares it. */
+export type OrganisationName = Branded<string, 'OrganisationName'>;
+/** SHA-256 digest, in hexadecimal, of a key by which callers identify their organisation. */
+export type KeyDigest = Branded<string, 'KeyDigest'>;
+/** Version of an upstream's software, as the upstream announces it. */
+export type SoftwareVersion = Branded<string, 'SoftwareVersion'>;
 /** Id of a request, set by the caller. */
 export type RequestId = Branded<string, 'RequestId'>;
 /** Id of one run of an upstream process; a restart gets a new one. */
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -33,6 +33,14 @@
   const error = `a whole number from ${min} to ${max}`;
   return z.int({ error }).min(min, { error }).max(max, { error }).default(defaultValue);
 };
+const slack = z
+  .number({ error: SLACK_EXPECTED })
+  .min(0, { error: SLACK_EXPECTED })
+  .max(MAX_SLACK, { error: SLACK_EXPECTED });
+const ratio = z
+  .number({ error: RATIO_EXPECTED })
+  .min(0, { error: RATIO_EXPECTED })
+  .max(1, { error: RATIO_EXPECTED });
 const name = z
   .string({ error: 'a name' })
   .regex(/^[\w.:-]{1,128}$/, { error: 'a name of letters, digits, dots, colons and hyphens' });
@@ -75,17 +83,9 @@
   retries: z
     .strictObject({
       window: duration('10s'),
-      slack: z
-        .number({ error: SLACK_EXPECTED })
-        .min(0, { error: SLACK_EXPECTED })
-        .max(MAX_SLACK, { error: SLACK_EXPECTED })
-        .default(20),
+      slack: slack.default(20),
       shared: z.boolean({ error: 'true or false' }).default(false),
-      ratio: z
-        .number({ error: RATIO_EXPECTED })
-        .min(0, { error: RATIO_EXPECTED })
-        .max(1, { error: RATIO_EXPECTED })
-        .optional(),
+      ratio: ratio.optional(),
     })
     .prefault({}),
   calls: z
@@ -100,6 +100,22 @@
       backlog: integer(1, 65_535, 511),
     })
     .prefault({}),
+  organisations: z
+    .strictObject({
+      /** Time after which a revoked key is refused by every daemon; without it, as soon as each can. */
+      revocation: duration('5s').optional(),
+      window: duration('5s'),
+      over: ratio.default(0.1),
+      slack: slack.default(20),
+    })
+    .prefault({}),
+  rollouts: z
+    .strictObject({
+      share: ratio.default(0.1),
+      slack: slack.default(50),
+      rollback: duration('5s'),
+    })
+    .prefault({}),
   logging: z
     .strictObject({
       lines_per_second: integer(1, 100_000, 100),
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -1,5 +1,5 @@
 import type { AttemptNumber, Clock, DaemonId, Incarnation, ServiceName } from '../common/Types';
-import type { Route, Service } from '../version/Types';
+import type { Organisation, Route, Service } from '../version/Types';
 import CallError from './CallError';
 import runHedgedAttempts, { type Attempt } from './runHedgedAttempts';
 import isIdempotent from './isIdempotent';
@@ -79,6 +79,8 @@
 export interface CallPolicy {
   readonly route: Route;
   readonly service: Service;
+  /** Organisation of the caller; `undefined` if it has none. */
+  readonly organisation?: Organisation | undefined;
   /** Fraction of calls that may be retried or hedged, 0 to 1. */
   readonly retryBudget: number;
 }
@@ -405,17 +407,19 @@
 
   private context(): AttemptContext {
     const { daemon, incarnation, nextAttempt, callerService } = this.services;
-    const { route, service } = this.policy;
+    const { route, service, organisation } = this.policy;
     return {
       id: { daemon, incarnation: incarnation(), number: nextAttempt() },
       service: service.name,
       route: route.name,
-      priority: route.priority,
+      priority: organisation?.priority ?? route.priority,
       idempotent: this.idempotent,
       deadline: this.times.deadline,
       objective: this.times.objective,
       callerService,
+      organisation: organisation?.name,
       attempts: this.attempts,
+      isRepeat: this.receivedAttempts > 1 || this.attemptsAbove > 1,
     };
   }
 }
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Logger, Random, RequestId, ServiceName } from '../common/Types';
+import type { Logger, OrganisationName, Random, RequestId, ServiceName } from '../common/Types';
 import type { CurrentVersion, Route } from '../version/Types';
 import AdaptiveThrottle from './AdaptiveThrottle';
+import Authenticator from './Authenticator';
 import Call, { type CallServices, type CallPolicy } from './Call';
 import { ATTEMPTS_HEADER, positiveHeader } from './callHeaders';
 import type CallError from './CallError';
@@ -89,6 +90,7 @@
   requestId?: RequestId;
   route?: string;
   service?: string;
+  organisation?: OrganisationName | undefined;
   /** Latency objective of the route, in milliseconds. */
   objectiveMs?: number;
   allowedMs?: number;
@@ -124,12 +126,15 @@
 
   private readonly statistics: RouteStatistics;
 
+  private readonly authenticator: Authenticator;
+
   /** Resolves the promise of `whenIdle`, which waits for all calls to finish. */
   private resolveIdle: (() => void) | undefined;
 
   /** @param services - Configuration, limits, hooks and other dependencies of the handler. */
   public constructor(private readonly services: CallHandlerServices) {
     this.stopGuard = new StopGuard(services.clock);
+    this.authenticator = new Authenticator(services);
     this.statistics = new RouteStatistics('Calls of a route.', services.logger, services.clock);
   }
 
@@ -283,12 +288,16 @@
       await this.refuse(refusal, message, response, record);
       return;
     }
-    const service = this.trafficSplitter.next(route);
     const { name, objectiveMs } = route;
-    Object.assign(record, { route: name, service, objectiveMs });
+    Object.assign(record, { route: name, objectiveMs });
+    const key = message.headers[names.apiKey] as string | undefined;
+    const organisation = this.authenticator.authenticate(route, key);
+    const service = this.trafficSplitter.next(route);
+    Object.assign(record, { service, organisation: organisation?.name });
     const noUpstream = this.noUpstream(route, service);
     if (noUpstream) throw new NotRunError(noUpstream.reason, { daemonNotReady: true });
-    await this.dispatch(message, response, request, this.policyFor(route, service), record);
+    const policy = { ...this.policyFor(route, service), organisation };
+    await this.dispatch(message, response, request, policy, record);
   }
 
   /** Checks the limits that apply to a call, runs it and relays its response. */
@@ -427,6 +436,7 @@
       request: record.requestId,
       route: record.route,
       service: record.service,
+      organisation: record.organisation,
       version: versions.snapshot?.head.version,
       outcome: record.outcome,
       status,
--- a/src/request/TrafficSplitter.test.ts
+++ b/src/request/TrafficSplitter.test.ts
@@ -24,6 +24,7 @@
     priority: 0,
     hedge: false,
     retries: 0,
+    isPublic: false,
   };
 }
 
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -11,6 +11,7 @@
   DaemonId,
   Disposable,
   Incarnation,
+  OrganisationName,
   RequestId,
   RouteName,
   ServiceName,
@@ -66,6 +67,10 @@
    * the daemon to which the caller sent the call.
    */
   readonly callerService: string;
+  /** On callers' requests: key that identifies the caller's organisation; never forwarded. */
+  readonly apiKey: string;
+  /** On requests to upstreams: name of the organisation whose key the caller sent. */
+  readonly organisation: string;
   /** On requests to upstreams: id of the only upstream instance that may run the request. */
   readonly expectedInstance: string;
   /** On responses: set by an upstream that did not run the request. */
@@ -181,8 +186,15 @@
   readonly objective: number;
   /** Caller's service: that of the upstream beside the daemon to which the caller sent the call. */
   readonly callerService: ServiceName | undefined;
+  /** Organisation of the caller; `undefined` if it has none, as for calls of upstreams. */
+  readonly organisation: OrganisationName | undefined;
   /** Number of attempts made so far, summed over this call and the calls that led to it. */
   readonly attempts: number;
+  /**
+   * Whether an upstream may have received an earlier attempt of this call, or of a call that led to it, so
+   * that the calls which the upstream makes for it are repeats too.
+   */
+  readonly isRepeat: boolean;
 }
 
 /** A response whose head has arrived and whose body can be streamed. */
--- a/src/request/callHeaders.ts
+++ b/src/request/callHeaders.ts
@@ -40,13 +40,18 @@
   return new Set(connection.split(',').map((name) => name.trim().toLowerCase()));
 }
 
-/** Whether a request header is set by daemons only, so that a value from the caller is dropped. */
-function isSetByDaemons(name: string, names: HeaderNames): boolean {
+/**
+ * Whether a request header is meant for daemons or set by daemons only, so that a value from the caller is
+ * not forwarded.
+ */
+function isForDaemons(name: string, names: HeaderNames): boolean {
   if (name === names.requestId) return false;
   return (
     name.startsWith(HEADER_PREFIX) ||
     name === names.deadlineMs ||
     name === names.callerService ||
+    name === names.apiKey ||
+    name === names.organisation ||
     name === names.expectedInstance
   );
 }
@@ -71,7 +76,7 @@
     const isDropped =
       HOP_BY_HOP.has(name) ||
       name === 'content-length' ||
-      isSetByDaemons(name, names) ||
+      isForDaemons(name, names) ||
       options.has(name);
     if (!isDropped) forwarded.push(rawHeaders[index]!, rawHeaders[index + 1]!);
   }
@@ -130,6 +135,7 @@
     String(context.attempts),
   ];
   if (context.callerService) headers.push(names.callerService, context.callerService);
+  if (context.organisation) headers.push(names.organisation, context.organisation);
   if (instance) headers.push(names.expectedInstance, instance);
   return headers;
 }
--- a/src/request/channelFrames.test.ts
+++ b/src/request/channelFrames.test.ts
@@ -48,6 +48,8 @@
     objective: fc.integer({ min: -60_000, max: 60_000 }),
     attempts: count,
     callerService: fc.option(fc.string(), { nil: undefined }),
+    organisation: fc.option(fc.string(), { nil: undefined }),
+    isRepeat: fc.boolean(),
   }),
   method: fc.string(),
   path: fc.string(),
--- a/src/request/channelFrames.ts
+++ b/src/request/channelFrames.ts
@@ -11,6 +11,7 @@
   Branded,
   DaemonId,
   Incarnation,
+  OrganisationName,
   RouteName,
   ServiceName,
 } from '../common/Types';
@@ -129,6 +130,7 @@
 
 function encodeCall({ target, context, method, path, headers, body }: CallFrame, now: number) {
   const { id, service, route, priority, deadline, objective, attempts, callerService } = context;
+  const { organisation, isRepeat } = context;
   return [
     [
       id.incarnation,
@@ -142,6 +144,8 @@
       Math.round(objective - now),
       attempts,
       callerService ?? null,
+      organisation ?? null,
+      isRepeat,
     ],
     method,
     path,
@@ -249,6 +253,9 @@
     objectiveMs,
     attempts,
     caller,
+    // Older releases leave these out.
+    organisation,
+    isRepeat,
   ] = expectArray(value);
   const context: AttemptContext = {
     id: {
@@ -265,6 +272,8 @@
     objective: now + expectNumber(objectiveMs),
     attempts: expectNumber(attempts),
     callerService: decodeOptional(caller, expectString) as ServiceName | undefined,
+    organisation: decodeOptional(organisation, expectString) as OrganisationName | undefined,
+    isRepeat: isRepeat === true,
   };
   return { context, target: expectNumber(target) as Incarnation };
 }
--- a/src/request/defaultHeaderNames.ts
+++ b/src/request/defaultHeaderNames.ts
@@ -6,6 +6,8 @@
   isRequestIdAlwaysEchoed: false,
   deadlineMs: 'x-azurestream-deadline-ms',
   callerService: 'x-azurestream-caller-service',
+  apiKey: 'x-azurestream-api-key',
+  organisation: 'x-azurestream-organisation',
   expectedInstance: 'x-azurestream-expected-instance',
   notExecuted: 'x-azurestream-not-executed',
   signature: undefined,
--- a/src/version/IndexedSnapshot.ts
+++ b/src/version/IndexedSnapshot.ts
@@ -1,12 +1,15 @@
+import type { KeyDigest } from '../common/Types';
 import RouteTable from './RouteTable';
-import type { Configuration, Head, Route, Snapshot, ValidationIssue } from './Types';
+import type { Configuration, Head, Organisation, Route, Snapshot, ValidationIssue } from './Types';
 
-/** An immutable configuration version with an index of its routes. */
+/** An immutable configuration version with an index of its routes and its organisations' keys. */
 export default class IndexedSnapshot implements Snapshot {
   public readonly shortestObjectiveMs: number;
 
   private readonly routeTable: RouteTable;
 
+  private readonly organisationsByKey = new Map<KeyDigest, Organisation>();
+
   public constructor(
     public readonly head: Head,
     public readonly configuration: Configuration,
@@ -18,9 +21,16 @@
       (shortest, { objectiveMs }) => Math.min(shortest, objectiveMs),
       Infinity,
     );
+    for (const organisation of configuration.organisations.values()) {
+      for (const key of organisation.keys) this.organisationsByKey.set(key, organisation);
+    }
   }
 
   public match(method: string, host: string, path: string): Route | undefined {
     return this.routeTable.match(method, host, path);
   }
+
+  public organisationOf(key: KeyDigest): Organisation | undefined {
+    return this.organisationsByKey.get(key);
+  }
 }
--- a/src/version/RouteTable.test.ts
+++ b/src/version/RouteTable.test.ts
@@ -17,6 +17,7 @@
     priority: 0,
     hedge: false,
     retries: 0,
+    isPublic: false,
   };
 }
 
--- a/src/version/Types.ts
+++ b/src/version/Types.ts
@@ -8,10 +8,13 @@
   Digest,
   Event,
   FileName,
+  KeyDigest,
   Offset,
+  OrganisationName,
   PublicationId,
   RouteName,
   ServiceName,
+  SoftwareVersion,
   Steps,
   VersionNumber,
 } from '../common/Types';
@@ -107,11 +110,44 @@
   readonly hedge: boolean;
   /** Maximum number of attempts after the first. */
   readonly retries: number;
+  /** Whether callers need no key. */
+  readonly isPublic: boolean;
+}
+
+/** Limit on the calls of an organisation, over all daemons together. */
+export interface Quota {
+  /** Calls per second. */
+  readonly rate: number;
+  /** Calls that may come at once in addition to the rate. */
+  readonly burst: number;
+}
+
+/** An organisation, as its `[organisation.NAME]` table declares it. */
+export interface Organisation {
+  readonly name: OrganisationName;
+  /** Digests of the keys by which its callers identify themselves. */
+  readonly keys: readonly KeyDigest[];
+  /** Priority of its calls; `undefined` if that of the route applies. */
+  readonly priority: Priority | undefined;
+  /** Limit on its calls; `undefined` if there is none. */
+  readonly quota: Quota | undefined;
+}
+
+/** An operator's order to move the calls of a service to upstreams of another software version. */
+export interface Rollout {
+  readonly service: ServiceName;
+  /** Software version of the upstreams that are to receive all calls in the end. */
+  readonly version: SoftwareVersion;
+  /** Time within which the calls are to be moved, in milliseconds. */
+  readonly durationMs: number;
 }
 
 /** The file that a merged entry comes from. */
 export interface Provenance {
-  /** Name of the entry: `service.NAME`, `route.NAME`, `defaults.KEY` or `limits`. */
+  /**
+   * Name of the entry: `service.NAME`, `route.NAME`, `organisation.NAME`, `rollout.SERVICE`,
+   * `defaults.KEY` or `limits`.
+   */
   readonly key: string;
   readonly file: FileName;
   /** Earlier files whose entry this file replaced, in name order. */
@@ -122,6 +158,9 @@
 export interface Configuration {
   readonly services: ReadonlyMap<ServiceName, Service>;
   readonly routes: ReadonlyMap<RouteName, Route>;
+  /** Organisations by name. If there are any, calls on routes that aren't public need a key of one. */
+  readonly organisations: ReadonlyMap<OrganisationName, Organisation>;
+  readonly rollouts: ReadonlyMap<ServiceName, Rollout>;
   /** Maximum number of retries and hedges, as a share of the number of all calls, from 0 to 1. */
   readonly retryBudget: number;
   /**
@@ -224,6 +263,11 @@
    * take precedence over routes for every host.
    */
   match(method: string, host: string, path: string): Route | undefined;
+  /**
+   * @param key - Digest of the key of a caller.
+   * @returns The organisation that holds the key, if any.
+   */
+  organisationOf(key: KeyDigest): Organisation | undefined;
 }
 
 /** The configuration version in force on this daemon. */
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -10,7 +10,7 @@
 import { DURATION_EXPECTED, parseDuration } from '../common/parseDuration';
 
 /** Schema number that this release writes, and the highest that it reads. */
-export const SCHEMA_NUMBER = 2;
+export const SCHEMA_NUMBER = 3;
 
 const MAX_SLOTS = 10_000;
 export const MAX_CONNECTIONS = 10_000;
@@ -20,6 +20,7 @@
 export const MAX_PRIORITY = 100;
 export const MAX_WEIGHT = 1_000_000;
 export const MAX_LIMIT_BYTES = 1_073_741_824;
+export const MAX_QUOTA = 1_000_000;
 /** Numeric values of the named priorities of routes; queued calls with lower values run first. */
 const NAMED_PRIORITIES = { interactive: 0, background: 1 } as const;
 
@@ -27,6 +28,10 @@
 export const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
 /** Paths of routes and health checks. */
 export const PATH = /^\/[^\s?#]*$/;
+/** Pattern of the names of organisations, which are sent to upstreams in a header. */
+export const ORGANISATION_NAME = /^[\w.@:-]{1,128}$/;
+const KEY_DIGEST = /^[0-9a-f]{64}$/;
+const SOFTWARE_VERSION = /^[\x21-\x7e]{1,128}$/;
 const HOST = /^[a-z0-9.[\]:-]{1,255}$/;
 
 /** Methods that a route may list; a route without a list allows all of them. */
@@ -111,6 +116,42 @@
     .default(NAMED_PRIORITIES.interactive),
   hedge: boolean.default(false),
   retries: integer(0, MAX_RETRIES).optional(),
+  public: boolean.default(false),
+});
+
+const keysExpected =
+  'a list of SHA-256 digests of keys, each of 64 hexadecimal digits in lower case';
+const quotaExpected = `a number from 0 to ${MAX_QUOTA}`;
+const quotaNumber = z
+  .number({ error: quotaExpected })
+  .min(0, { error: quotaExpected })
+  .max(MAX_QUOTA, { error: quotaExpected });
+
+/** Schema of the names of organisations. */
+export const organisationNameSchema = z.string().regex(ORGANISATION_NAME, {
+  error: 'a name of letters, digits and the characters _.@:-, at most 128 long',
+});
+
+/** Schema of an `[organisation.NAME]` table. */
+export const organisationSchema = z.strictObject({
+  keys: z.array(z.string({ error: keysExpected }).regex(KEY_DIGEST, { error: keysExpected }), {
+    error: keysExpected,
+  }),
+  priority: z
+    .int({ error: `a whole number from 0 to ${MAX_PRIORITY}` })
+    .min(0, { error: `a whole number from 0 to ${MAX_PRIORITY}` })
+    .max(MAX_PRIORITY, { error: `a whole number from 0 to ${MAX_PRIORITY}` })
+    .optional(),
+  rate: quotaNumber.default(0),
+  burst: quotaNumber.default(0),
+});
+
+/** Schema of a `[rollout.SERVICE]` table. */
+export const rolloutSchema = z.strictObject({
+  version: z
+    .string({ error: 'a software version' })
+    .regex(SOFTWARE_VERSION, { error: 'a software version without spaces, at most 128 long' }),
+  duration: durationMs(MAX_TIMEOUT_MS),
 });
 
 /** Schema of the `[defaults]` table. Later files override single keys, not the whole table. */
--- a/src/version/mergeFolder.test.ts
+++ b/src/version/mergeFolder.test.ts
@@ -41,8 +41,8 @@
         '[defaults]\ntimeout = "4s"\n[route.other]\nservice = "stock"\npath = "/other"\nmethods = ["POST"]\n',
     }),
     `{"name":"stock","slots":16,"connections":120,"queue":3,"warmUpMs":0}
-{"name":"get","targets":[{"service":"stock","weight":1}],"path":"/stock","methods":["GET"],"timeoutMs":2000,"objectiveMs":2000,"priority":0,"hedge":false,"retries":1}
-{"name":"other","targets":[{"service":"stock","weight":1}],"path":"/other","methods":["POST"],"timeoutMs":4000,"objectiveMs":4000,"priority":0,"hedge":false,"retries":1}
+{"name":"get","targets":[{"service":"stock","weight":1}],"path":"/stock","methods":["GET"],"timeoutMs":2000,"objectiveMs":2000,"priority":0,"hedge":false,"retries":1,"isPublic":false}
+{"name":"other","targets":[{"service":"stock","weight":1}],"path":"/other","methods":["POST"],"timeoutMs":4000,"objectiveMs":4000,"priority":0,"hedge":false,"retries":1,"isPublic":false}
 service.stock < é.toml over 10.toml
 route.get < 20.toml
 route.other < z.toml
@@ -65,6 +65,9 @@
     'wrong type': '[service.stock]\nslots = "many"\n',
     'wrong method': `${SERVICE}[route.a]\nservice = "stock"\npath = "/a"\nmethods = ["FETCH"]\n`,
     'no path': `${SERVICE}[route.a]\nservice = "stock"\n`,
+    'key of two organisations': `[organisation.a]\nkeys = ["${'0'.repeat(64)}"]\n[organisation.b]\nkeys = ["${'0'.repeat(64)}"]\n`,
+    'key in clear text': '[organisation.a]\nkeys = ["secret"]\n',
+    'rollout of an undeclared service': '[rollout.stock]\nversion = "v2"\nduration = "12s"\n',
     'bad name': '[service.Stock_1]\nslots = 1\n',
   };
   const lines = Object.entries(cases).map(
@@ -76,7 +79,7 @@
 same route twice -> 10.toml:6: found "[route.a]", expected TOML (trying to redefine an already defined table or value)
 same match twice -> 10.toml:8: route.b.path: found "/a", expected a path and methods that route.a doesn't match already
 unknown key -> 10.toml:3: service.stock.colour: found an unknown key, expected a key that docs/CONFIGURATION.md lists
-unknown section -> 10.toml: server: found an unknown key, expected a table [service.NAME], [route.NAME], [defaults] or [limits]
+unknown section -> 10.toml: server: found an unknown key, expected a table [service.NAME], [route.NAME], [organisation.NAME], [rollout.SERVICE], [defaults] or [limits]
 undeclared service -> 10.toml:2: route.a.service: found "stock", expected a service that some file declares
 wrong unit -> 10.toml:3: service.stock.warm_up: found "2 fortnights", expected a duration with its unit, such as "500ms", "2s", "1m" or "1h"
 unit missing -> 10.toml:3: service.stock.warm_up: found 2, expected a duration with its unit, such as "500ms", "2s", "1m" or "1h"
@@ -84,6 +87,9 @@
 wrong type -> 10.toml:2: service.stock.slots: found "many", expected a whole number from 1 to 10000
 wrong method -> 10.toml:6: route.a.methods.0: found "FETCH", expected one of GET, HEAD, OPTIONS, PUT, DELETE, POST, PATCH
 no path -> 10.toml:3: route.a.path: found nothing, expected a path that begins with /
+key of two organisations -> 10.toml:4: organisation.b.keys: found "0000000000000000000000000000000000000000000000000000000000000000", expected a key that organisation.a doesn't hold
+key in clear text -> 10.toml:2: organisation.a.keys.0: found something else, which is not shown, expected a list of SHA-256 digests of keys, each of 64 hexadecimal digits in lower case
+rollout of an undeclared service -> 10.toml:2: rollout.stock.version: found "stock", expected a service that some file declares
 bad name -> 10.toml:1: service.Stock_1: found "Stock_1", expected a name of lower-case letters, digits and hyphens, at most 63 long`,
   );
 });
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -7,14 +7,24 @@
 import type * as z from 'zod';
 import inSteps from '../common/inSteps';
 import runAtOnce from '../common/runAtOnce';
-import type { FileName, RouteName, ServiceName, Steps } from '../common/Types';
+import type {
+  FileName,
+  KeyDigest,
+  OrganisationName,
+  RouteName,
+  ServiceName,
+  SoftwareVersion,
+  Steps,
+} from '../common/Types';
 import {
   DEFAULTS,
   defaultsSchema,
   limitsSchema,
   METHODS,
-  NAME,
   nameSchema,
+  organisationNameSchema,
+  organisationSchema,
+  rolloutSchema,
   routeSchema,
   serviceSchema,
 } from './configurationSchema';
@@ -26,7 +36,9 @@
   Folder,
   FolderFile,
   MergeResult,
+  Organisation,
   Provenance,
+  Rollout,
   Route,
   Service,
   WeightedService,
@@ -39,12 +51,14 @@
   readonly overrode: readonly FileName[];
 }
 
-/** The merged entries of one kind of table: services and routes by name, `[defaults]` by key. */
+/** The merged entries of one kind of table, by name; those of `[defaults]` by key. */
 type Section = Map<string, MergedEntry>;
 
 interface Sections {
   readonly service: Section;
   readonly route: Section;
+  readonly organisation: Section;
+  readonly rollout: Section;
   readonly defaults: Section;
   readonly limits: Section;
 }
@@ -54,7 +68,14 @@
   value: unknown,
 ) => z.ZodSafeParseResult<z.output<Schema>>;
 
-const SECTION_NAMES = ['service', 'route', 'defaults', 'limits'] as const;
+const SECTION_NAMES = [
+  'service',
+  'route',
+  'organisation',
+  'rollout',
+  'defaults',
+  'limits',
+] as const;
 
 /** Map key of the merged `[limits]` table, which has no name of its own. */
 const LIMITS_KEY = 'limits';
@@ -79,7 +100,8 @@
     line: locateLine(file.content, key),
     key,
     found: 'an unknown key',
-    expected: 'a table [service.NAME], [route.NAME], [defaults] or [limits]',
+    expected:
+      'a table [service.NAME], [route.NAME], [organisation.NAME], [rollout.SERVICE], [defaults] or [limits]',
   };
 }
 
@@ -142,23 +164,29 @@
   return issues;
 }
 
+/** Leaves out what was found in place of a digest: it may be a key in clear text. */
+function withoutKey(issue: ValidationIssue): ValidationIssue {
+  const isKey = /^organisation\..*\.keys(\.\d+)?$/.test(issue.key ?? '');
+  return isKey ? { ...issue, found: 'something else, which is not shown' } : issue;
+}
+
 function* parseEntries<Schema extends z.ZodType>(
-  kind: 'service' | 'route',
+  kind: 'service' | 'route' | 'organisation' | 'rollout',
   section: Section,
   schema: Schema,
-  parseTable: TableParser<Schema>,
   issues: ValidationIssue[],
+  parseTable: TableParser<Schema> = (value) => schema.safeParse(value),
 ): Steps<Map<string, z.output<Schema>>> {
   const parsed = new Map<string, z.output<Schema>>();
+  const entryNameSchema = kind === 'organisation' ? organisationNameSchema : nameSchema;
   yield* inSteps(section, ([name, { value, file }]) => {
     const table = `${kind}.${name}`;
     const source = { file: file.name, content: file.content, table };
-    if (!NAME.test(name)) {
-      issues.push(...schemaIssues(nameSchema.safeParse(name).error!, name, source));
-    }
+    const validName = entryNameSchema.safeParse(name);
+    if (!validName.success) issues.push(...schemaIssues(validName.error, name, source));
     const result = validate(schema, value, parseTable);
     if (result.success) parsed.set(name, result.data);
-    else issues.push(...schemaIssues(result.error, value, source));
+    else issues.push(...schemaIssues(result.error, value, source).map(withoutKey));
   });
   return parsed;
 }
@@ -229,17 +257,42 @@
     priority: parsed.priority,
     hedge: parsed.hedge,
     retries: parsed.retries ?? defaults.retries,
+    isPublic: parsed.public,
   };
 }
 
-function routeIssue(
+function buildOrganisation(
+  name: string,
+  { keys, priority, rate, burst }: z.output<typeof organisationSchema>,
+): Organisation {
+  return {
+    name: name as OrganisationName,
+    keys: keys as KeyDigest[],
+    priority,
+    quota: rate > 0 ? { rate, burst } : undefined,
+  };
+}
+
+function buildRollout(
+  service: string,
+  { version, duration }: z.output<typeof rolloutSchema>,
+): Rollout {
+  return {
+    service: service as ServiceName,
+    version: version as SoftwareVersion,
+    durationMs: duration,
+  };
+}
+
+function entryIssue(
   sections: Sections,
-  route: Route,
+  kind: 'route' | 'organisation' | 'rollout',
+  name: string,
   key: string,
   detail: Pick<ValidationIssue, 'found' | 'expected'>,
 ): ValidationIssue {
-  const { file } = sections.route.get(route.name)!;
-  const table = `route.${route.name}`;
+  const { file } = sections[kind].get(name)!;
+  const table = `${kind}.${name}`;
   return {
     file: file.name,
     line: locateLine(file.content, table, key),
@@ -248,6 +301,55 @@
   };
 }
 
+function routeIssue(
+  sections: Sections,
+  { name }: Route,
+  key: string,
+  detail: Pick<ValidationIssue, 'found' | 'expected'>,
+): ValidationIssue {
+  return entryIssue(sections, 'route', name, key, detail);
+}
+
+/** Reports keys that more than one organisation holds: a call would belong to either of them. */
+function sharedKeyIssues(
+  sections: Sections,
+  organisations: readonly Organisation[],
+): ValidationIssue[] {
+  const holders = new Map<KeyDigest, OrganisationName>();
+  const issues: ValidationIssue[] = [];
+  for (const { name, keys } of organisations) {
+    for (const key of keys) {
+      const holder = holders.get(key) ?? name;
+      holders.set(key, holder);
+      if (holder !== name) {
+        issues.push(
+          entryIssue(sections, 'organisation', name, 'keys', {
+            found: `"${key}"`,
+            expected: `a key that organisation.${holder} doesn't hold`,
+          }),
+        );
+      }
+    }
+  }
+  return issues;
+}
+
+/** Reports roll-outs of services that no file declares. */
+function rolloutIssues(
+  sections: Sections,
+  services: ReadonlyMap<ServiceName, Service>,
+  rollouts: readonly Rollout[],
+): ValidationIssue[] {
+  return rollouts
+    .filter(({ service }) => !services.has(service))
+    .map(({ service }) =>
+      entryIssue(sections, 'rollout', service, 'version', {
+        found: `"${service}"`,
+        expected: 'a service that some file declares',
+      }),
+    );
+}
+
 /** Reports a route without exactly one of `service` and `split`, and its undeclared services. */
 function targetIssues(
   sections: Sections,
@@ -319,6 +421,8 @@
   const sections: Sections = {
     service: new Map(),
     route: new Map(),
+    organisation: new Map(),
+    rollout: new Map(),
     defaults: new Map(),
     limits: new Map(),
   };
@@ -326,24 +430,35 @@
   yield* inSteps(folder, (file) => issues.push(...collectEntries(file, sections)));
   const defaults = parseDefaults(sections.defaults, issues);
   const limits = parseLimits(sections.limits, issues);
-  const { service: serviceSection, route: routeSection } = sections;
-  const parseService = (value: unknown) => serviceSchema.safeParse(value);
-  const parsedServices = yield* parseEntries(
-    'service',
-    serviceSection,
-    serviceSchema,
-    parseService,
+  const parsedServices = yield* parseEntries('service', sections.service, serviceSchema, issues);
+  const parsedRoutes = yield* parseEntries(
+    'route',
+    sections.route,
+    routeSchema,
     issues,
+    parseRoute,
   );
-  const parsedRoutes = yield* parseEntries('route', routeSection, routeSchema, parseRoute, issues);
+  const parsedOrganisations = yield* parseEntries(
+    'organisation',
+    sections.organisation,
+    organisationSchema,
+    issues,
+  );
+  const parsedRollouts = yield* parseEntries('rollout', sections.rollout, rolloutSchema, issues);
   const services = new Map(
     [...parsedServices].map(([name, parsed]) => [name as ServiceName, buildService(name, parsed)]),
   );
   const routes = [...parsedRoutes].map(([name, parsed]) => buildRoute(name, parsed, defaults));
+  const organisations = [...parsedOrganisations].map(([name, parsed]) =>
+    buildOrganisation(name, parsed),
+  );
+  const rollouts = [...parsedRollouts].map(([name, parsed]) => buildRollout(name, parsed));
   // References are checked only if all entries are valid: otherwise an invalid service would be
   // reported a second time, as undeclared, by each route to it.
   if (issues.length === 0) {
     issues.push(...(yield* crossReferenceIssues(sections, services, routes)));
+    issues.push(...sharedKeyIssues(sections, organisations));
+    issues.push(...rolloutIssues(sections, services, rollouts));
   }
   if (issues.length > 0) return { kind: 'invalid', issues };
   return {
@@ -352,6 +467,8 @@
     configuration: {
       services,
       routes: new Map(routes.map((route) => [route.name, route])),
+      organisations: new Map(organisations.map((entry) => [entry.name, entry])),
+      rollouts: new Map(rollouts.map((entry) => [entry.service, entry])),
       retryBudget: defaults.retry_budget,
       limits,
       provenance: provenance(sections),
@@ -361,7 +478,7 @@
 
 /**
  * Merges the files of a folder in name order and validates the result. A later file replaces a
- * whole service, a whole route, the whole `[limits]` table or a single key of `[defaults]`. The
+ * whole service, route, organisation or roll-out, the whole `[limits]` table or a single key of `[defaults]`. The
  * result depends on the folder only, so every daemon gets the same one.
  *
  * @param folder - Files in name order.
