Report entries without effect and what differs from the version in force in check

Operators asked to see before they publish: routes that never match, limits that contradict each other, unused services and rollouts, organisations without keys.

--- a/src/command/folderCommands.ts
+++ b/src/command/merge.ts
@@ -1,8 +1,3 @@
-/**
- * Commands that need only a local configuration folder.
- *
- * @packageDocumentation
- */
 import type { Configuration } from '../version/Types';
 import { mergeOrThrow, readFolder } from './folderFiles';
 import { EXIT_CODES, type Command } from './Types';
@@ -11,33 +6,15 @@
   return {
     services: [...configuration.services.values()],
     routes: [...configuration.routes.values()],
+    organisations: [...configuration.organisations.values()],
+    rollouts: [...configuration.rollouts.values()],
     retryBudget: configuration.retryBudget,
     provenance: configuration.provenance,
   };
 }
 
-/** Validates a local configuration folder. */
-export const check: Command = {
-  name: 'check',
-  usage: 'FOLDER',
-  summary: 'merge and validate a folder; print every fault',
-  argumentCount: 1,
-  async run([path], _flags, output) {
-    const folder = await readFolder(path!);
-    const { services, routes } = mergeOrThrow(folder);
-    output.print(`valid: ${folder.length} files, ${services.size} services, ${routes.size} routes`);
-    const value = {
-      valid: true,
-      files: folder.length,
-      services: services.size,
-      routes: routes.size,
-    };
-    return { exitCode: EXIT_CODES.ok, value };
-  },
-};
-
 /** Prints the configuration that results from merging the files of a local folder. */
-export const merge: Command = {
+const merge: Command = {
   name: 'merge',
   usage: 'FOLDER',
   summary: 'print the merged configuration, each value with the file it comes from',
@@ -49,6 +26,12 @@
       values.set(`service.${service.name}`, service);
     }
     for (const route of configuration.routes.values()) values.set(`route.${route.name}`, route);
+    for (const organisation of configuration.organisations.values()) {
+      values.set(`organisation.${organisation.name}`, organisation);
+    }
+    for (const rollout of configuration.rollouts.values()) {
+      values.set(`rollout.${rollout.service}`, rollout);
+    }
     for (const { key, file, overrode } of configuration.provenance) {
       const overridden = overrode.length > 0 ? `, overrides ${overrode.join(', ')}` : '';
       output.print(`[${key}]  # ${file}${overridden}`);
@@ -61,3 +44,5 @@
     return { exitCode: EXIT_CODES.ok, value: toJson(configuration) };
   },
 };
+
+export default merge;
--- a/test/commands.test.ts
+++ b/test/commands.test.ts
@@ -102,7 +102,7 @@
     assert.snapshot(
       lines.join('\n'),
       `0 run                           run the daemon; needs --settings
-0 check FOLDER                  merge and validate a folder; print every fault
+0 check FOLDER                  print every fault and doubtful entry; with --daemon or --log, what differs in force
 0 merge FOLDER                  print the merged configuration, each value with the file it comes from
 0 diff FOLDER                   compare a folder with the one in force
 0 pull FOLDER                   make a folder equal to the one in force; other .toml files in it are removed
