--- a/src/version/folder.ts
+++ b/src/version/folder.ts
@@ -44,17 +44,21 @@
   return [...files].sort((a, b) => compareBytes(a.name, b.name));
 }
 
+function isWritten(change: FileChange): change is FolderFile {
+  return change.content !== null;
+}
+
 /**
  * @param folder - The folder to change; it is not modified.
  * @param changes - Files to create, replace or remove.
- * @returns The changed folder. It shares the objects of unchanged files, whose parsed content
- * `mergeFolder` caches by object.
+ * @returns The changed folder. It shares the objects of unchanged and of written files, whose parsed content
+ * is cached by object.
  */
 export function applyChanges(folder: Folder, changes: readonly FileChange[]): Folder {
   const files = new Map<FileName, FolderFile>(folder.map((file) => [file.name, file]));
-  for (const { name, content } of changes) {
-    if (content === null) files.delete(name);
-    else files.set(name, { name, content });
+  for (const change of changes) {
+    if (isWritten(change)) files.set(change.name, change);
+    else files.delete(change.name);
   }
   return sortedFolder(files.values());
 }
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { parse, TomlError } from 'smol-toml';
+import { TomlError } from 'smol-toml';
 import type * as z from 'zod';
 import inSteps from '../common/inSteps';
 import runAtOnce from '../common/runAtOnce';
@@ -28,6 +28,7 @@
   routeSchema,
   serviceSchema,
 } from './configurationSchema';
+import { parseDocument } from './parsedDocuments';
 import parseRoute from './parseRoute';
 import { formatValue, locateLine, schemaIssues } from './validationIssues';
 import type {
@@ -111,20 +112,9 @@
   section.set(name, { value, file, overrode });
 }
 
-/** Cache of parsed TOML files, by file object; versions share the objects of unchanged files. */
-const parsedDocuments = new WeakMap<FolderFile, Record<string, unknown>>();
-
 /** Cache of validation results, by schema and table. */
 const validationResults = new WeakMap<z.ZodType, WeakMap<object, z.ZodSafeParseResult<unknown>>>();
 
-function parseFile(file: FolderFile): Record<string, unknown> {
-  const cached = parsedDocuments.get(file);
-  if (cached) return cached;
-  const document = parse(file.content);
-  parsedDocuments.set(file, document);
-  return document;
-}
-
 function validate<Schema extends z.ZodType>(
   schema: Schema,
   value: unknown,
@@ -142,7 +132,7 @@
 function collectEntries(file: FolderFile, sections: Sections): ValidationIssue[] {
   let document: Record<string, unknown>;
   try {
-    document = parseFile(file);
+    document = parseDocument(file);
   } catch (error) {
     if (error instanceof TomlError) return [tomlIssue(file, error)];
     throw error;
