Refuse keys where the version in force isn't proven to be recent

Cause: a daemon that is cut off, frozen or restarted goes on accepting keys that a newer version removed. Nothing says how long ago its version was the newest; the time of the last confirmation is that of a response, on one clock only.

Change: where organisations.revocation is set, FreshnessProof holds the newest proof (version, moment of the request) by the monotonic clock and the time of day. Reads of the store and replies to heartbeats add proofs, which count from the moment before the request was sent. With organisations in force, readers read once a second in turn without a long poll, daemons whose proof is older than half the bound read for themselves, and links send heartbeats sooner from a third of the bound on. The offset that peers continue from no longer moves past a version that was refused here.

callerPipeline.test.ts hung since, as its configuration lacked the organisations; they were added to it.

--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -2,10 +2,11 @@
 import runInSlices from '../common/runInSlices';
 import sleep from '../common/sleep';
 import withLinkedSignal from '../common/withLinkedSignal';
-import type { Clock, Disposable, Logger, Offset, Random } from '../common/Types';
+import type { Clock, Disposable, Logger, Offset, Random, VersionNumber } from '../common/Types';
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
 import { applyChanges, digestSteps, folderChanges } from '../version/folder';
 import type { Head } from '../version/Types';
+import type FreshnessProof from './FreshnessProof';
 import LogError from './LogError';
 import LogExpiredError from './LogExpiredError';
 import LogTimeoutError from './LogTimeoutError';
@@ -33,6 +34,15 @@
 const FAILURES_BEFORE_HANDOVER = 2;
 /** Shortest time between two reads on behalf of readers that lost the store, in milliseconds. */
 const MIN_CATCH_UP_INTERVAL_MS = 2_000;
+/** Interval between two reads of a reader while keys are checked, in ms; such reads don't wait. */
+const PROOF_READ_INTERVAL_MS = 1_000;
+/** Share of the revocation bound from which on a daemon reads the store itself to get a younger proof. */
+const PROOF_READ_SHARE = 1 / 2;
+/**
+ * Share of the revocation bound over which the daemons whose proofs get old begin to read, so that those
+ * that read first can pass on their proofs.
+ */
+const PROOF_READ_JITTER = 1 / 4;
 
 /** Conditions under which a daemon itself reads the configuration store. */
 export interface ConfigurationWatcherOptions extends ReaderCounts {
@@ -45,7 +55,7 @@
 
 /** Why a daemon reads the store. */
 type ReadReason =
-  'start' | 'rank' | 'failed reads' | 'a peer is late' | 'a reader failed' | 'stale';
+  'start' | 'rank' | 'failed reads' | 'a peer is late' | 'a reader failed' | 'old proof' | 'stale';
 
 /**
  * Watches a store that retains the newest complete configuration. Every daemon reads the store once
@@ -53,6 +63,9 @@
  * changes from peers. A daemon whose reads fail sets `readsLog` to false in its member record, and
  * the next daemon by rank takes over; a few more read once, as the cause may concern several daemons. While
  * the readers may be lost themselves, the daemons that notice this read too.
+ *
+ * While a proof is needed that the version in force is the newest, readers read once a second without waiting,
+ * as a read proves nothing about the time after it was sent; so does any daemon whose proof gets old.
  */
 export default class ConfigurationWatcher implements Disposable {
   private readonly role: ReaderRole;
@@ -81,6 +94,12 @@
 
   private lastCatchUpAt = -Infinity;
 
+  /** Newest version in the records of the store up to `nextOffset`; `undefined` if there is none. */
+  private shownVersion: VersionNumber | undefined;
+
+  /** Monotonic time in ms at which this daemon reads for a younger proof; `undefined` if it isn't old. */
+  private proofReadAt: number | undefined;
+
   public constructor(
     private readonly store: ConfigurationStore,
     private readonly heads: HeadTracker,
@@ -90,6 +109,7 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
+    private readonly proof?: FreshnessProof,
   ) {
     this.role = new ReaderRole(members, options);
     this.subscriptions = [
@@ -132,6 +152,10 @@
         const isNewVersion = await this.readOnce(signal);
         this.recordSuccess();
         this.isFirstWait = isNewVersion;
+        if (this.proof?.isNeeded) {
+          await this.awaitTurn(this.proof, signal);
+          continue;
+        }
         if (isNewVersion) await sleep(COALESCE_MS, signal);
         // Without this delay, all daemons that lose their peers at once would overload the store.
         if (this.reason === 'stale' && this.isStale()) {
@@ -153,6 +177,27 @@
     if (this.wakeup.signal.aborted) this.wakeup = new AbortController();
   }
 
+  /** Waits until the next read while a proof is needed. */
+  private async awaitTurn(proof: FreshnessProof, signal: AbortSignal): Promise<void> {
+    const waitMs =
+      this.reason === 'rank'
+        ? this.role.untilTurnMs(PROOF_READ_INTERVAL_MS, proof.now().timeOfDayMs)
+        : jitteredPeriod(PROOF_READ_INTERVAL_MS, this.random);
+    await sleep(waitMs, signal);
+  }
+
+  /** Whether this daemon should read the store to get a younger proof than its peers passed on. */
+  private isProofDue(): boolean {
+    const { proof } = this;
+    if (!proof?.isOlderThan(PROOF_READ_SHARE)) {
+      this.proofReadAt = undefined;
+      return false;
+    }
+    const now = this.clock.now();
+    this.proofReadAt ??= now + this.random.below(Math.ceil(proof.boundMs * PROOF_READ_JITTER));
+    return now >= this.proofReadAt;
+  }
+
   /** Waits before a failed read is repeated; the first repetition, on a new connection, comes at once. */
   private async awaitRetry(signal: AbortSignal): Promise<void> {
     const retries = this.consecutiveFailures - 1;
@@ -180,6 +225,7 @@
     if (!this.members.self.readsLog) return 'failed reads';
     if (this.doubt.isRaised) return 'a peer is late';
     if (this.isCatchUpDue()) return 'a reader failed';
+    if (this.isProofDue()) return 'old proof';
     return this.isStale() ? 'stale' : undefined;
   }
 
@@ -210,6 +256,7 @@
       this.hasReaderFailed = false;
       this.lastCatchUpAt = this.clock.now();
     }
+    const askedAt = this.proof?.now();
     let batch: ConfigurationBatch;
     try {
       batch = await this.read(signal);
@@ -222,6 +269,9 @@
       return false;
     }
     this.nextOffset = batch.next;
+    this.noteShown(batch.configuration?.version);
+    // Valid as soon as this version, or a newer one from a peer, is in force.
+    if (askedAt && this.shownVersion !== undefined) this.proof?.add(this.shownVersion, askedAt);
     return this.apply(batch.configuration, batch.next);
   }
 
@@ -230,14 +280,20 @@
     // After the first read, an offset confirmed by peers is as reliable as one from the store.
     if (head && this.nextOffset !== undefined && knowledge.through > this.nextOffset) {
       this.nextOffset = knowledge.through;
+      this.noteShown(head.version);
     }
     if (this.nextOffset === undefined) return this.store.newest(signal);
     return this.store.changes(this.nextOffset, this.waitMs(), signal);
   }
 
+  private noteShown(version: VersionNumber | undefined): void {
+    if (version === undefined) return;
+    if (version > (this.shownVersion ?? -1)) this.shownVersion = version;
+  }
+
   /** Longest wait of the next read for a newer version, in milliseconds. */
   private waitMs(): number {
-    if (this.consecutiveFailures > 0) return 0;
+    if (this.consecutiveFailures > 0 || this.proof?.isNeeded) return 0;
     if (this.reason === 'rank') return this.role.waitMs(this.isFirstWait);
     // A read that waits costs no more than one that doesn't, and hears of later versions too.
     const isOnBehalf = this.reason === 'a peer is late' || this.reason === 'a reader failed';
--- a/src/connection/LogTailer.ts
+++ b/src/connection/LogTailer.ts
@@ -4,6 +4,7 @@
 import ConfigurationReplay from '../version/ConfigurationReplay';
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
 import type { FolderMerger, RecordOutcome } from '../version/Types';
+import type FreshnessProof from './FreshnessProof';
 import LogError from './LogError';
 import LogExpiredError from './LogExpiredError';
 import type { HeadTracker, Log, LogBatch, LogReaderState, Membership } from './Types';
@@ -15,6 +16,10 @@
 const LONG_POLL_WAIT_MS = 2_000;
 /** Interval at which a daemon that doesn't read the log checks whether it should. */
 const ROLE_CHECK_INTERVAL_MS = 500;
+/** Interval between two reads while keys are checked, in ms; such reads don't wait. */
+const PROOF_READ_INTERVAL_MS = 1_000;
+/** Share of the revocation bound from which on a daemon reads the log itself to get a younger proof. */
+const PROOF_READ_SHARE = 1 / 2;
 const READ_BACKOFF: Backoff = { baseMs: 200, capMs: 5_000 };
 
 /** Conditions under which a daemon itself reads the configuration stream of the log. */
@@ -58,6 +63,7 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
+    private readonly proof?: FreshnessProof,
   ) {
     this.rank = new MemberRank(members, 'log-reader');
   }
@@ -87,7 +93,8 @@
   public async run(signal: AbortSignal): Promise<void> {
     let consecutiveFailures = 0;
     while (!signal.aborted) {
-      if (!this.isReader() && !this.doubt.isRaised && !this.isStale()) {
+      const isProofOld = this.proof?.isOlderThan(PROOF_READ_SHARE) ?? false;
+      if (!this.isReader() && !this.doubt.isRaised && !this.isStale() && !isProofOld) {
         this.reading = false;
         await sleep(ROLE_CHECK_INTERVAL_MS, signal);
         continue;
@@ -104,6 +111,10 @@
         this.logger.log('Reading the configuration stream failed.', { reason: error.message });
         await sleep(jitteredBackoff(READ_BACKOFF, consecutiveFailures, this.random), signal);
       }
+      if (this.proof?.isNeeded) {
+        await sleep(jitteredPeriod(PROOF_READ_INTERVAL_MS, this.random), signal);
+        continue;
+      }
       // Without this delay, all daemons that lose their peers at once would overload the log.
       if (!this.isReader() && !this.doubt.isRaised) {
         await sleep(jitteredPeriod(this.options.staleMs, this.random), signal);
@@ -118,8 +129,10 @@
 
   private async readOnce(signal: AbortSignal): Promise<void> {
     const replay = await this.prepareReplay();
-    const waitMs = this.isReader() || this.doubt.isRaised ? LONG_POLL_WAIT_MS : 0;
+    const mayWait = (this.isReader() || this.doubt.isRaised) && !this.proof?.isNeeded;
+    const waitMs = mayWait ? LONG_POLL_WAIT_MS : 0;
     this.reads += 1;
+    const askedAt = this.proof?.now();
     let batch: LogBatch;
     try {
       batch = await this.log.read('configuration', replay.nextOffset, waitMs, signal);
@@ -147,6 +160,7 @@
       return;
     }
     const isAtEnd = replay.nextOffset >= batch.next;
+    if (askedAt && isAtEnd && replay.head) this.proof?.add(replay.head.version, askedAt);
     await this.heads.applyLogHead(replay.head, replay.nextOffset, isAtEnd);
   }
 
--- a/src/connection/Overlay.ts
+++ b/src/connection/Overlay.ts
@@ -14,6 +14,10 @@
 
 const RECONCILE_INTERVAL_MS = 500;
 const MAX_CONCURRENT_PROBES = 4;
+/** Shortest time between two heartbeats on a link that are sent to get a younger proof, in milliseconds. */
+const PROOF_REQUEST_INTERVAL_MS = 250;
+/** Share of the revocation bound from which on the proof is old enough to send heartbeats sooner. */
+const PROOF_REQUEST_SHARE = 1 / 3;
 /** Number of peers that probe an unreachable member on behalf of this daemon. */
 const INDIRECT_PROBE_COUNT = 3;
 /** Backoff before a link to a peer is opened again after links to it failed. */
@@ -105,6 +109,19 @@
     }
   }
 
+  /**
+   * Sends heartbeats sooner while the proof of the version in force is getting old.
+   *
+   * @param signal - Stops the task.
+   */
+  public async requestProofs(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(PROOF_REQUEST_INTERVAL_MS, signal);
+      if (!this.services.proof?.isOlderThan(PROOF_REQUEST_SHARE)) continue;
+      for (const { link } of this.links.values()) if (link.isUp) link.requestHeartbeat();
+    }
+  }
+
   /**
    * Contacts lost members, so that restarted daemons are found and the two sides of a network partition merge
    * again after it heals.
--- a/src/connection/PeerHeadTracker.ts
+++ b/src/connection/PeerHeadTracker.ts
@@ -140,7 +140,9 @@
     // The head may have been refused, or replaced by a newer one that is still being validated. The
     // offset and the confirmation belong to the version in force: a checkpoint holds both.
     if (head && head.version > (this.version ?? -1)) return;
-    if (through > this.through) this.through = through;
+    // Peers that read from this offset on would never see a refused version before it, and take the one in
+    // force for the newest.
+    if (through > this.through && !this.refusedHead) this.through = through;
     if (this.offer.version === this.version) this.offeredThrough = this.through;
     if (confirmed) this.confirm(readAt);
   }
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -1,6 +1,7 @@
 import type { Clock, Disposable, Logger } from '../common/Types';
 import withStallAwareTimeout, { stallAwareSleep } from './withStallAwareTimeout';
 import type FetchLease from './FetchLease';
+import type FreshnessProof from './FreshnessProof';
 import type Gossip from './Gossip';
 import isSameRecord from './isSameRecord';
 import mergeWithdrawals from './mergeWithdrawals';
@@ -42,6 +43,8 @@
   readonly meter: SocketMeter;
   readonly logger: Logger;
   readonly clock: Clock;
+  /** Receives the proofs in replies; `undefined` if no revocation bound is set. */
+  readonly proof: FreshnessProof | undefined;
   /** Learns when a watched peer is late to answer. */
   readonly doubt: ReaderDoubt;
   /** Interval between heartbeats on a link, in ms; changes are sent without waiting for it. */
@@ -192,16 +195,19 @@
   }
 
   private async exchangeHeartbeats(connection: PeerConnection): Promise<void> {
-    const { gossip, members } = this.services;
+    const { gossip, members, proof } = this.services;
     this.currentStage = 'beat';
     this.heartbeatRequested = false;
     const update: HeartbeatRequest = {
       records: this.outbox.drain(),
       beat: gossip.createHeartbeat(),
     };
+    const askedAt = proof?.now();
     const reply = await this.awaitResponse(connection.ended, (signal) =>
       connection.client.beat.mutate(update, { signal }),
     );
+    const { proof: stated } = reply.beat;
+    if (askedAt && stated) proof?.add(stated.version, askedAt, stated.ageMs);
     await this.catchUp(connection, reply.beat);
     if (reply.wanted) await this.deliverDelta(connection, reply.wanted);
     this.digestMismatches = reply.beat.members === members.digest() ? 0 : this.digestMismatches + 1;
--- a/src/connection/ReaderRole.ts
+++ b/src/connection/ReaderRole.ts
@@ -60,6 +60,20 @@
     return Math.round(turns * turnMs);
   }
 
+  /**
+   * @param periodMs - Interval between two reads of each reader that don't wait, in milliseconds.
+   * @param timeOfDayMs - Time of day, by which the readers take turns, in milliseconds since the epoch.
+   * @returns Time until the next turn of this daemon, in milliseconds.
+   */
+  public untilTurnMs(periodMs: number, timeOfDayMs: number): number {
+    const count = Math.max(1, Math.min(this.perZone * this.zones, this.rank.members));
+    const position = this.rank.ofZone * this.perZone + this.rank.value;
+    const elapsedMs = (timeOfDayMs - (position * periodMs) / count) % periodMs;
+    const leftMs = periodMs - elapsedMs;
+    // A timer that fires a little early, or a read that took long, must not double the reads.
+    return leftMs < periodMs / 4 ? leftMs + periodMs : leftMs;
+  }
+
   public dispose(): void {
     this.rank.dispose();
   }
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -203,6 +203,20 @@
   readonly health: MemberHealth;
 }
 
+/** A moment on the monotonic clock and by the time of day. */
+export interface Moment {
+  readonly monotonicMs: number;
+  /** Milliseconds since the epoch. */
+  readonly timeOfDayMs: number;
+}
+
+/** Proof that a version was the newest some time ago. */
+export interface VersionProof {
+  readonly version: VersionNumber;
+  /** Milliseconds since the store was asked; rounded up. */
+  readonly ageMs: number;
+}
+
 /**
  * Content of a heartbeat: the newest configuration version that the sender has received, when the newest
  * was last confirmed, and a digest of the sender's member table.
@@ -220,6 +234,11 @@
   readonly ageMs: number | null;
   /** Digest of the sender's member table. */
   readonly members: string;
+  /**
+   * Proof for the version in force on the sender, only in replies: nobody can tell how long a request or a
+   * pushed update was under way. Null if the sender has none; `undefined` from daemons that don't need any.
+   */
+  readonly proof?: VersionProof | null | undefined;
 }
 
 /** A heartbeat with the member records that changed since the previous one. */
--- a/src/connection/messageSchema.ts
+++ b/src/connection/messageSchema.ts
@@ -72,7 +72,7 @@
   health: z.enum(['alive', 'suspect', 'dead']),
 });
 
-/** Schema of a {@link Heartbeat}. */
+/** Schema of a {@link Heartbeat} in a request; it leaves out a proof, which is valid in replies only. */
 export const heartbeatSchema: z.ZodType<Heartbeat> = z.object({
   from: daemonId,
   incarnation,
--- a/src/connection/peerRouter.ts
+++ b/src/connection/peerRouter.ts
@@ -8,6 +8,7 @@
 import type { AttemptId, AttemptState } from '../request/Types';
 import type { Address, DaemonId, Incarnation } from '../common/Types';
 import type FetchLease from './FetchLease';
+import type FreshnessProof from './FreshnessProof';
 import type Gossip from './Gossip';
 import {
   daemonIdSchema,
@@ -38,6 +39,8 @@
   readonly heads: HeadTracker;
   readonly gossip: Gossip;
   readonly fetchLease: FetchLease;
+  /** Proof that is passed on in replies; `undefined` if no revocation bound is set. */
+  readonly proof: FreshnessProof | undefined;
   /** Limits how many requests with large responses are processed at a time. */
   readonly queryQueue: PQueue;
   /** Returns the state of an attempt to run a call here, and forbids it if it has not arrived. */
@@ -76,7 +79,12 @@
       gossip.receive(input.records, input.beat.from);
       gossip.recordPeerVersion(input.beat);
       heads.observeHeartbeat(input.beat);
-      return { beat: gossip.createHeartbeat(), wanted: requestDelta(input.beat) };
+      const beat = gossip.createHeartbeat();
+      const { proof } = services;
+      return {
+        beat: proof ? { ...beat, proof: proof.current } : beat,
+        wanted: requestDelta(input.beat),
+      };
     }),
 
     /** Receives the configuration changes that the reply to a heartbeat requested. */
--- a/src/process/DaemonMetrics.ts
+++ b/src/process/DaemonMetrics.ts
@@ -1,5 +1,6 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { CallReport } from '../request/CallHandler';
+import type { KeyRefusal } from '../request/Types';
 
 /** Upper bounds of the buckets of the call duration histogram, in seconds. */
 const CALL_BUCKETS_SECONDS = [
@@ -21,6 +22,7 @@
 export interface Gauges {
   readonly version: () => number;
   readonly knowledgeAgeSeconds: () => number;
+  readonly proofAgeSeconds: () => number;
   readonly newestVersionHeard: () => number;
   readonly versionBehindSeconds: () => number;
   readonly versionsRefused: () => number;
@@ -44,6 +46,10 @@
     'knowledge_age_seconds',
     'Time since the head was last confirmed; -1 where never.',
   ],
+  proofAgeSeconds: [
+    'proof_age_seconds',
+    'Age of the proof that the version in force is recent; -1 where there is none.',
+  ],
   newestVersionHeard: [
     'version_newest_heard',
     'Newest version that the log or a peer is known to have; -1 where none.',
@@ -77,6 +83,8 @@
 
   private readonly attempts: Counter<'kind'>;
 
+  private readonly keysRefused: Counter<'reason'>;
+
   private readonly durations: Histogram;
 
   /** @param gauges - Functions that return the gauges' current values; called for each scrape. */
@@ -96,6 +104,12 @@
       labelNames: ['kind'],
       registers: [registry],
     });
+    this.keysRefused = new Counter({
+      name: 'azurestream_keys_refused_total',
+      help: 'Calls refused for their key: none, an unknown one, or an old proof of the version.',
+      labelNames: ['reason'],
+      registers: [registry],
+    });
     this.durations = new Histogram({
       name: 'azurestream_call_duration_seconds',
       help: 'Time from the head of a request to the end of its answer.',
@@ -133,6 +147,11 @@
     this.attempts.inc({ kind });
   };
 
+  /** @param reason - Why a call was refused for its key. */
+  public readonly onKeyRefused = (reason: KeyRefusal): void => {
+    this.keysRefused.inc({ reason });
+  };
+
   /** @returns All metrics in the Prometheus text format. */
   public scrape(): Promise<string> {
     return this.registry.metrics();
--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -84,7 +84,11 @@
       match: (_method: string, _host: string, path: string) =>
         path.startsWith('/unknown') ? undefined : route,
       head: { version: 1 },
-      configuration: { services: new Map([['s', { name: 's', slots: 1 }]]), retryBudget: 1 },
+      configuration: {
+        services: new Map([['s', { name: 's', slots: 1 }]]),
+        organisations: new Map(),
+        retryBudget: 1,
+      },
       shortestObjectiveMs: 60_000,
     };
     const upstream = { service: 's', daemon: 'd' } as unknown as Upstream;
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -16,6 +16,7 @@
 import ConfigurationWatcher from '../connection/ConfigurationWatcher';
 import createFence from '../connection/createFence';
 import FetchLease from '../connection/FetchLease';
+import FreshnessProof from '../connection/FreshnessProof';
 import Gossip from '../connection/Gossip';
 import HttpLog from '../connection/HttpLog';
 import Joiner from '../connection/Joiner';
@@ -165,6 +166,7 @@
   members: MemberTable,
   heads: PeerHeadTracker,
   doubt: ReaderDoubt,
+  proof: FreshnessProof | undefined,
 ): ConfigurationSource {
   const { settings, resources, clock, random, meter, logger } = core;
   const {
@@ -187,6 +189,7 @@
       clock,
       random,
       logger('log'),
+      proof,
     ),
   );
   const intervalMs = retention / CHECKPOINTS_PER_RETENTION;
@@ -224,6 +227,7 @@
   members: MemberTable,
   heads: PeerHeadTracker,
   doubt: ReaderDoubt,
+  proof: FreshnessProof | undefined,
 ): ConfigurationSource {
   const { settings, resources, clock, random, meter, logger } = core;
   const {
@@ -246,6 +250,7 @@
       clock,
       random,
       logger('store'),
+      proof,
     ),
   );
   return {
@@ -259,6 +264,18 @@
   };
 }
 
+/** Creates the proof that the version in force is recent, if a bound of revocation is set. */
+function wireProof({ settings, clock }: Core, versions: VersionStore): FreshnessProof | undefined {
+  const boundMs = settings.organisations.revocation;
+  if (boundMs === undefined) return undefined;
+  const options = {
+    boundMs,
+    hasOrganisations: () => (versions.snapshot?.configuration.organisations.size ?? 0) > 0,
+  };
+  const inForce = () => versions.snapshot?.head.version ?? null;
+  return new FreshnessProof(inForce, options, clock, () => Date.now());
+}
+
 /** Creates the store of the configuration in force and the components that keep it current. */
 function wireConfiguration(core: Core, members: MemberTable) {
   const { settings, resources, clock, logger } = core;
@@ -267,7 +284,8 @@
   const heads = resources.add(new PeerHeadTracker(versions, clock, logger('configuration')));
   const wireSource = settings.log.kind === 'platform' ? wirePlatform : wireStreams;
   const doubt = resources.add(new ReaderDoubt(clock));
-  return { versions, heads, doubt, source: wireSource(core, members, heads, doubt) };
+  const proof = wireProof(core, versions);
+  return { versions, heads, doubt, proof, source: wireSource(core, members, heads, doubt, proof) };
 }
 
 type ConfigurationComponents = ReturnType<typeof wireConfiguration>;
@@ -276,7 +294,7 @@
 function wirePeers(
   core: Core,
   members: MemberTable,
-  { heads, source, doubt }: ConfigurationComponents,
+  { heads, source, doubt, proof }: ConfigurationComponents,
 ) {
   const { settings, resources, clock, random, meter, logger } = core;
   const gossip = resources.add(new Gossip(members, heads, clock, logger('peer')));
@@ -290,6 +308,7 @@
     fetchLease,
     meter,
     clock,
+    proof,
     doubt,
     logger: logger('peer'),
     heartbeatIntervalMs,
@@ -376,7 +395,7 @@
 function wireMetrics(
   { clock, meter, log, lag }: Core,
   members: MemberTable,
-  { heads, source: { logReader } }: ConfigurationComponents,
+  { heads, proof, source: { logReader } }: ConfigurationComponents,
   { overlay }: PeerComponents,
   { registration }: UpstreamComponents,
 ) {
@@ -386,6 +405,7 @@
       const { confirmedAt } = heads.knowledge;
       return confirmedAt === undefined ? -1 : (clock.now() - confirmedAt) / MS_PER_SECOND;
     },
+    proofAgeSeconds: () => (proof?.current ? proof.ageMs / MS_PER_SECOND : -1),
     newestVersionHeard: () => heads.newestVersionHeard ?? -1,
     versionBehindSeconds: () => heads.behindMs / MS_PER_SECOND,
     versionsRefused: () => heads.refusedCount,
@@ -413,7 +433,7 @@
 function wireCalls(
   { settingsHolder, settings, clock, random, lag, names, logger }: Core,
   members: MemberTable,
-  { versions, heads }: ConfigurationComponents,
+  { versions, heads, proof }: ConfigurationComponents,
   { balancer, transport }: UpstreamComponents,
   metrics: DaemonMetrics,
   readiness: Readiness,
@@ -458,6 +478,8 @@
     positionOf: (response) => listener.positionOf(response),
     isCurrent: () => readiness.isCurrent,
     awaitsNewerVersion: () => heads.awaitsNewerVersion,
+    proof,
+    onKeyRefused: metrics.onKeyRefused,
   });
 }
 
@@ -505,7 +527,7 @@
   const peers = wirePeers(core, members, configuration);
   const upstreams = wireUpstreams(core, members, configuration, peers);
   const metrics = wireMetrics(core, members, configuration, peers, upstreams);
-  const { versions, heads, source } = configuration;
+  const { versions, heads, source, proof } = configuration;
   const { gossip, fetchLease, peerClient, overlay, joiner } = peers;
   const { attempts, registration } = upstreams;
   const readiness = new Readiness(
@@ -536,6 +558,7 @@
     heads,
     gossip,
     fetchLease,
+    proof,
     queryQueue: new PQueue({ concurrency: MAX_CONCURRENT_PEER_QUERIES }),
     fence: (attempt, giveUp) => attempts.fence(attempt, giveUp),
     isReachable: (id, address) => peerClient.isReachable(id, address),
@@ -592,6 +615,7 @@
       ...source.tasks,
       (signal) => overlay.run(signal),
       (signal) => overlay.contactLost(signal),
+      ...(proof ? [(signal: AbortSignal) => overlay.requestProofs(signal)] : []),
       (signal) => joiner.run(signal),
     ],
     resources,
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -3,7 +3,7 @@
 import type { Logger, OrganisationName, Random, RequestId, ServiceName } from '../common/Types';
 import type { CurrentVersion, Route } from '../version/Types';
 import AdaptiveThrottle from './AdaptiveThrottle';
-import Authenticator from './Authenticator';
+import Authenticator, { type AuthenticationServices } from './Authenticator';
 import Call, { type CallServices, type CallPolicy } from './Call';
 import { ATTEMPTS_HEADER, positiveHeader } from './callHeaders';
 import type CallError from './CallError';
@@ -58,7 +58,7 @@
 }
 
 /** Configuration, limits, hooks and other dependencies of the handler of callers' requests. */
-export interface CallHandlerServices extends CallServices {
+export interface CallHandlerServices extends CallServices, AuthenticationServices {
   readonly versions: CurrentVersion;
   readonly directory: UpstreamDirectory;
   readonly names: HeaderNames;
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -79,6 +79,17 @@
   readonly signature: string | undefined;
 }
 
+/** Proof that the version in force was the newest a short time ago, so that none of its keys was revoked before. */
+export interface KeyProof {
+  /** Whether calls with a key may be accepted. */
+  readonly isFresh: boolean;
+  /** Time in ms since the version in force is known to have been the newest; infinite if it isn't known. */
+  readonly ageMs: number;
+}
+
+/** Why a call was refused for its key: it has none, an unknown one, or the proof is too old. */
+export type KeyRefusal = 'missing' | 'unknown' | 'proof';
+
 /** Outcome of a call as reported to its caller; `unknown` means that the call may have run. */
 export type Outcome = 'answered' | 'not-run' | 'unknown';
 
