--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -48,6 +48,7 @@
 import PeerTransport from '../request/PeerTransport';
 import RetryAdvice from '../request/RetryAdvice';
 import RoutingTransport from '../request/RoutingTransport';
+import UpstreamRuns from '../request/UpstreamRuns';
 import mergeAccepted from '../version/mergeAccepted';
 import { mergeSteps } from '../version/mergeFolder';
 import mergePublication from '../version/mergePublication';
@@ -338,6 +339,7 @@
 ) {
   const { settings, resources, clock, random, names, lag, logger } = core;
   const attempts = new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock);
+  const runs = new UpstreamRuns(clock);
   const registration = resources.add(
     new UpstreamRegistration({
       members,
@@ -345,6 +347,7 @@
       keeper: new WithdrawalKeeper(overlay, source.withdrawals, logger('upstream')),
       versions,
       attempts,
+      runs,
       names,
       lagMs: () => lag.currentMs,
       waitedMs: () => lag.maxReadDelayMs,
@@ -386,7 +389,7 @@
     () => registration.local?.upstream,
     new PeerTransport(channels, createFence(peerClient), liveness, calls.silence, clock),
   );
-  return { attempts, registration, balancer, transport };
+  return { attempts, runs, registration, balancer, transport };
 }
 
 type UpstreamComponents = ReturnType<typeof wireUpstreams>;
@@ -434,7 +437,7 @@
   { settingsHolder, settings, clock, random, lag, names, logger }: Core,
   members: MemberTable,
   { versions, heads, proof }: ConfigurationComponents,
-  { balancer, transport }: UpstreamComponents,
+  { balancer, transport, runs }: UpstreamComponents,
   metrics: DaemonMetrics,
   readiness: Readiness,
   acceptDelays: AcceptDelays,
@@ -467,8 +470,10 @@
     retryAllowance: {
       windowMs: () => retries().window,
       slack: () => retries().slack / (retries().shared ? members.live().length : 1),
+      isShared: () => retries().shared,
       maxShare: () => retries().ratio ?? 1,
     },
+    localRuns: runs,
     lagMs: () => lag.currentMs,
     waitedMs: () => lag.maxReadDelayMs,
     onAttempt: metrics.onAttempt,
