Tell offsets of a store that came back from a copy from those before

Cause: such a store gives offsets out again and lacks what was written in the last seconds. A daemon read on from an offset that meant another record, and its contact and withdrawals stayed lost (read; no header of the store was looked at).

Daemons that don't read the store learn of the era from their peers' heartbeats. Contacts and withdrawals are stored again.

Not done: the product's own log streams, reporting a publication that was acknowledged and lost there.

--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -67,6 +67,10 @@
     return this.step(`from ${from}`, signal);
   }
 
+  public observe(): void {
+    // This store never comes back from a copy.
+  }
+
   public reconnect(): void {
     this.connections += 1;
   }
--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -123,6 +123,7 @@
   /** @param signal - Stops the task. */
   public async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      this.store.observe(this.heads.knowledge.through);
       this.updateReason();
       if (!this.reason) {
         await this.awaitReason(signal);
--- a/src/connection/Joiner.ts
+++ b/src/connection/Joiner.ts
@@ -38,6 +38,8 @@
 export default class Joiner implements Disposable {
   private readonly rank: MemberRank;
 
+  private readonly subscription: Disposable | undefined;
+
   private readonly lookEmitter = new Emitter<void>();
 
   /**
@@ -62,6 +64,7 @@
     private readonly logger: Logger,
   ) {
     this.rank = new MemberRank(members, 'announcer');
+    this.subscription = store.onRestore?.(() => this.forgetAnnouncement());
   }
 
   /** @param signal - Stops the task. */
@@ -83,6 +86,7 @@
   }
 
   public dispose(): void {
+    this.subscription?.dispose();
     this.rank.dispose();
     this.lookEmitter.dispose();
   }
@@ -134,6 +138,12 @@
     if (announces) await this.announce();
   }
 
+  /** Makes this daemon store its contact again, which the restored store may lack. */
+  private forgetAnnouncement(): void {
+    this.announcedAt = undefined;
+    this.lookedAt = undefined;
+  }
+
   private isDue(doneAt: number | undefined): boolean {
     return doneAt === undefined || this.clock.now() - doneAt >= this.options.refreshMs;
   }
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -107,6 +107,14 @@
   changes(from: Offset, waitMs: number, signal: AbortSignal): Promise<ConfigurationBatch>;
   /** Makes the next read use a new connection; reads under way go on. */
   reconnect(): void;
+  /** @param offset - Offset that a peer has read, which tells whether the store was restored since. */
+  observe(offset: Offset): void;
+}
+
+/** A store that may come back from a copy, which lacks the records of the last seconds. */
+export interface RestorableStore {
+  /** Fires when it came back: records that were stored shortly before may be lost. */
+  readonly onRestore: Event<void>;
 }
 
 /** Id and address of a daemon that can supply the member list. */
@@ -125,7 +133,7 @@
 }
 
 /** Stores the contacts through which a daemon without peers can join the others. */
-export interface ContactStore {
+export interface ContactStore extends Partial<RestorableStore> {
   /** Whether a contact is kept for good, so that it needn't be renewed. */
   readonly isDurable: boolean;
   /**
@@ -306,7 +314,7 @@
 }
 
 /** Holds the withdrawals of this daemon outside of its process. */
-export interface WithdrawalStore extends Disposable {
+export interface WithdrawalStore extends RestorableStore, Disposable {
   /** Fires with the withdrawals that an earlier process of this daemon stored, when they are read. */
   readonly onRecall: Event<readonly Withdrawal[]>;
   /**
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -284,6 +284,15 @@
     this.updateOwnMember();
   }
 
+  /**
+   * Stores the withdrawals again, as the store came back from a copy that may lack them. What was
+   * acknowledged on their strength still binds.
+   */
+  public storeWithdrawalsAgain(): void {
+    if (!this.withdrawals.list) return;
+    this.areKept = this.keepWithdrawals();
+  }
+
   /** Resolves once the draining upstream has finished its calls, so that it can exit safely. */
   public async whenDrained(): Promise<void> {
     await this.registered?.upstream?.drain();
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -337,6 +337,7 @@
     }),
   );
   source.withdrawals?.onRecall((withdrawals) => registration.recall(withdrawals));
+  source.withdrawals?.onRestore(() => registration.storeWithdrawalsAgain());
   const { calls } = settings;
   const channels = resources.add(
     new CallChannels(settings.daemon.name, calls.connect, clock, logger('peer')),
--- a/stand-in/PlatformStoreServer.ts
+++ b/stand-in/PlatformStoreServer.ts
@@ -16,7 +16,7 @@
 const MS_PER_SECOND = 1_000;
 
 interface Topic {
-  readonly records: { readonly key: string; readonly value: string }[];
+  records: { readonly key: string; readonly value: string }[];
   /** Callbacks that wake the reads that wait for the next record. */
   wakeups: Set<() => void>;
 }
@@ -29,6 +29,9 @@
   /** Whether every request is rejected with status 503. */
   public isDown = false;
 
+  /** Era in the header of all answers. */
+  private era = 0;
+
   private readonly topics = new Map<string, Topic>();
 
   private readonly server: Server;
@@ -86,6 +89,21 @@
     return this.topic(topic).records.map(({ key }) => key);
   }
 
+  /** @returns A copy of all records, to restore later. */
+  public copy(): ReadonlyMap<string, readonly { readonly key: string; readonly value: string }[]> {
+    return new Map([...this.topics].map(([name, { records }]) => [name, [...records]]));
+  }
+
+  /** @param copy - Copy of all records; what was written since is lost, and the era rises by one. */
+  public restore(copy: ReturnType<PlatformStoreServer['copy']>): void {
+    this.era += 1;
+    for (const [name, topic] of this.topics) {
+      topic.records = [...(copy.get(name) ?? [])];
+      for (const wake of topic.wakeups) wake();
+      topic.wakeups = new Set();
+    }
+  }
+
   private topic(name: string): Topic {
     const topic = this.topics.get(name) ?? { records: [], wakeups: new Set() };
     this.topics.set(name, topic);
@@ -106,8 +124,14 @@
 
   private async read(response: ServerResponse, query: Record<string, string>): Promise<void> {
     const from = Number(query.from);
-    const { records } = this.topic(query.topic!);
-    if (from >= records.length) await this.nextRecord(query.topic!, Number(query.wait_ms ?? 0));
+    const topic = this.topic(query.topic!);
+    if (from > topic.records.length) {
+      response.writeHead(410, { 'store-era': this.era }).end(JSON.stringify({ first: 0 }));
+      return;
+    }
+    if (from === topic.records.length)
+      await this.nextRecord(query.topic!, Number(query.wait_ms ?? 0));
+    const { records } = topic;
     const header = Buffer.alloc(READ_HEADER_BYTES);
     header.writeBigUInt64BE(BigInt(records.length));
     const encoded = records.slice(from).map(({ key, value }) => encodeKeyedRecord(key, value));
@@ -138,7 +162,7 @@
   }
 
   private async send(response: ServerResponse, body: Buffer): Promise<void> {
-    response.writeHead(200, { 'content-length': body.length });
+    response.writeHead(200, { 'content-length': body.length, 'store-era': this.era });
     for (let sent = 0; sent < body.length && !response.destroyed; sent += PIECE_BYTES) {
       const piece = body.subarray(sent, sent + PIECE_BYTES);
       response.write(piece);
