--- a/stand-in/PlatformStoreServer.ts
+++ b/stand-in/PlatformStoreServer.ts
@@ -129,8 +129,9 @@
       response.writeHead(410, { 'store-era': this.era }).end(JSON.stringify({ first: 0 }));
       return;
     }
-    if (from === topic.records.length)
+    if (from === topic.records.length) {
       await this.nextRecord(query.topic!, Number(query.wait_ms ?? 0));
+    }
     const { records } = topic;
     const header = Buffer.alloc(READ_HEADER_BYTES);
     header.writeBigUInt64BE(BigInt(records.length));
