Take no proof of freshness from a store that has just come back from a copy

A version that removed a key may be among the lost records until its operator has written it again; a read in that second showed an older version as the newest. Read, not run on a mesh.

--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -36,6 +36,11 @@
 const MIN_CATCH_UP_INTERVAL_MS = 2_000;
 /** Interval between two reads of a reader while keys are checked, in ms; such reads don't wait. */
 const PROOF_READ_INTERVAL_MS = 1_000;
+/**
+ * Time after the store came back from a copy in which its operator may still write again what was lost, in ms;
+ * a read proves nothing then.
+ */
+const RESTORE_SETTLE_MS = 1_000;
 /** Share of the revocation bound from which on a daemon reads the store itself to get a younger proof. */
 const PROOF_READ_SHARE = 1 / 2;
 /**
@@ -97,6 +102,9 @@
   /** Newest version in the records of the store up to `nextOffset`; `undefined` if there is none. */
   private shownVersion: VersionNumber | undefined;
 
+  /** Monotonic time in ms from which on reads of the store prove something. */
+  private provesFrom = -Infinity;
+
   /** Monotonic time in ms at which this daemon reads for a younger proof; `undefined` if it isn't old. */
   private proofReadAt: number | undefined;
 
@@ -115,6 +123,7 @@
     this.subscriptions = [
       doubt.onRaise(() => this.wakeup.abort()),
       members.onChange((records) => this.noteFailedReaders(records)),
+      ...(store.onRestore ? [store.onRestore(() => this.noteRestore())] : []),
     ];
   }
 
@@ -272,7 +281,8 @@
     this.nextOffset = batch.next;
     this.noteShown(batch.configuration?.version);
     // Valid as soon as this version, or a newer one from a peer, is in force.
-    if (askedAt && this.shownVersion !== undefined) this.proof?.add(this.shownVersion, askedAt);
+    const isProof = askedAt && askedAt.monotonicMs >= this.provesFrom;
+    if (isProof && this.shownVersion !== undefined) this.proof?.add(this.shownVersion, askedAt);
     return this.apply(batch.configuration, batch.next);
   }
 
@@ -287,6 +297,11 @@
     return this.store.changes(this.nextOffset, this.waitMs(), signal);
   }
 
+  /** A version that removed a key may be among the records that were lost. */
+  private noteRestore(): void {
+    this.provesFrom = this.clock.now() + RESTORE_SETTLE_MS;
+  }
+
   private noteShown(version: VersionNumber | undefined): void {
     if (version === undefined) return;
     if (version > (this.shownVersion ?? -1)) this.shownVersion = version;
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -88,7 +88,7 @@
 }
 
 /** A store that always retains the newest complete configuration. */
-export interface ConfigurationStore {
+export interface ConfigurationStore extends Partial<RestorableStore> {
   /**
    * @param signal - Cancels the read.
    * @returns The newest configuration, if any was published.
