--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -15,6 +15,7 @@
 import { mergeSteps } from '../version/mergeFolder';
 import VersionStore from '../version/VersionStore';
 import ConfigurationWatcher from './ConfigurationWatcher';
+import FreshnessProof from './FreshnessProof';
 import LogExpiredError from './LogExpiredError';
 import LogTimeoutError from './LogTimeoutError';
 import LogUnavailableError from './LogUnavailableError';
@@ -55,6 +56,8 @@
 class ScriptedStore implements ConfigurationStore {
   public readonly requests: string[] = [];
 
+  public readonly waits: number[] = [];
+
   public connections = 0;
 
   public constructor(private readonly steps: (() => ConfigurationBatch)[]) {}
@@ -63,7 +66,8 @@
     return this.step('newest', signal);
   }
 
-  public changes(from: Offset, _waitMs: number, signal: AbortSignal): Promise<ConfigurationBatch> {
+  public changes(from: Offset, waitMs: number, signal: AbortSignal): Promise<ConfigurationBatch> {
+    this.waits.push(waitMs);
     return this.step(`from ${from}`, signal);
   }
 
@@ -140,7 +144,11 @@
 });
 
 /** Runs a watcher on scripted reads, and returns the reads and the changes of `readsLog` once all were done. */
-async function watch(steps: (() => ConfigurationBatch)[], others: readonly MemberRecord[] = []) {
+async function watch(
+  steps: (() => ConfigurationBatch)[],
+  others: readonly MemberRecord[] = [],
+  boundMs = 0,
+) {
   const clock = new SystemClock();
   const members = new MemberTable(
     SELF,
@@ -155,15 +163,23 @@
   });
   const doubt = new ReaderDoubt(clock);
   const store = new ScriptedStore(steps);
+  const versions = new VersionStore(mergeSteps, clock);
+  const proof = new FreshnessProof(
+    () => versions.snapshot?.head.version ?? null,
+    { boundMs, hasOrganisations: () => boundMs > 0 },
+    clock,
+    () => Date.now(),
+  );
   const watcher = new ConfigurationWatcher(
     store,
-    new PeerHeadTracker(new VersionStore(mergeSteps, clock), clock, { log: () => undefined }),
+    new PeerHeadTracker(versions, clock, { log: () => undefined }),
     members,
     { readersPerZone: 1, readerZones: 1, staleMs: 60_000 },
     doubt,
     clock,
     new SeededRandom(3),
     { log: () => undefined },
+    proof,
   );
   const end = new AbortController();
   const running = watcher.run(end.signal);
@@ -176,7 +192,7 @@
     watcher.dispose();
     members.dispose();
   };
-  return { members, store, doubt, readsLog, settle, finish };
+  return { members, store, doubt, readsLog, proof, settle, finish };
 }
 
 /** Members of the same zone that all rank before this daemon, as their links are faster. */
@@ -224,4 +240,33 @@
   await finish();
 });
 
+// Guards against a proof that counts from the response, and against long polls, whose responses prove little.
+test('while keys are checked, a read does not wait and proves as of its request', async () => {
+  let respondedAt = 0;
+  const slow = () => {
+    // The response takes its time, which the proof must count.
+    const until = Date.now() + 60;
+    while (Date.now() < until);
+    respondedAt = performance.now();
+    return { configuration: undefined, next: 4 as Offset };
+  };
+  const reader = await watch([() => batch(7, 4), slow], [], 5_000);
+  await reader.settle(() => reader.store.requests.length === 2);
+  await delay(5);
+  const sinceResponse = performance.now() - respondedAt;
+  assert.ok(reader.proof.ageMs >= sinceResponse + 59, `${reader.proof.ageMs}, ${sinceResponse}`);
+  assert.equal([reader.proof.current?.version, reader.store.waits], [7, [0]]);
+  await reader.finish();
+});
+
+// Guards against a daemon that waits for its peers until its proof is too old.
+test('a daemon that is no reader reads for itself while its proof is old', async () => {
+  const steps = [7, 8, 9].map((version) => () => batch(version, version - 3));
+  const member = await watch(steps, fasterMembers(4), 400);
+  await member.settle(() => member.proof.current?.version === 7);
+  await member.settle(() => member.proof.current?.version === 8);
+  assert.equal([member.store.requests, member.store.waits], [['newest', 'from 4'], [0]]);
+  await member.finish();
+});
+
 test.run();
--- a/src/connection/ReaderRole.test.ts
+++ b/src/connection/ReaderRole.test.ts
@@ -52,6 +52,17 @@
   );
 });
 
+// Guards against readers that read at the same time, and against a timer's error that doubles the reads.
+test('reads that do not wait take turns by the time of day', () => {
+  const waits = (timeOfDayMs: number) =>
+    [...rolesOf([3, 3, 3]).values()]
+      .filter(({ isReader }) => isReader)
+      .map((role) => Math.round(role.untilTurnMs(1_000, timeOfDayMs)))
+      .sort((a, b) => a - b);
+  assert.equal(waits(1_700_000_000_000), [333, 667, 1_000]);
+  assert.equal(waits(1_700_000_000_332), [335, 668, 1_001]);
+});
+
 test('the next daemon of the zone takes over from a reader that lost the store', () => {
   const sound = rolesOf([4, 4, 4]);
   const readers = [...sound.keys()].filter((id) => sound.get(id)!.isReader);
--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -1,4 +1,5 @@
 import type { Clock, Offset } from '../common/Types';
+import type FreshnessProof from '../connection/FreshnessProof';
 import type MemberTable from '../connection/MemberTable';
 import type Overlay from '../connection/Overlay';
 import type PeerHeadTracker from '../connection/PeerHeadTracker';
@@ -9,7 +10,13 @@
 import isIdempotent from '../request/isIdempotent';
 import type { Configuration, Head } from '../version/Types';
 import type { Settings } from './settings';
-import type { DaemonStatus, DaemonDump, RouteExplanation, RouteState } from './Types';
+import type {
+  DaemonStatus,
+  DaemonDump,
+  OrganisationState,
+  RouteExplanation,
+  RouteState,
+} from './Types';
 import type UpstreamRegistration from './UpstreamRegistration';
 
 /** The components whose state is reported at the control address. */
@@ -17,6 +24,8 @@
   readonly settings: Settings;
   readonly members: MemberTable;
   readonly heads: PeerHeadTracker;
+  /** Proof that the version in force is recent; `undefined` if no bound of revocation is set. */
+  readonly proof: FreshnessProof | undefined;
   /** State of the reader of the configuration log. */
   readonly logReader: { readonly state: LogReaderState };
   readonly checkpointsWritten: () => number;
@@ -58,6 +67,7 @@
       version: heads.head?.version ?? null,
       digest: heads.head?.digest ?? null,
       knowledgeAgeMs: this.knowledgeAgeMs(),
+      proofAgeMs: this.proofAgeMs(),
       problems: this.problems(),
     };
   }
@@ -121,6 +131,9 @@
       service: services[0] ?? null,
       services,
       idempotent: route && isIdempotent(route, method),
+      needsKey: route !== null && !route.isPublic && this.organisations().length > 0,
+      organisations: this.organisations(),
+      proofAgeMs: this.proofAgeMs(),
       upstreams: targets.flatMap((name) => members.upstreams(name)),
       refusal: calls.predictRefusal(method, host, path)?.reason ?? null,
     };
@@ -143,10 +156,23 @@
       files: head.folder.map(({ name }) => name),
       services: [...configuration.services.values()],
       routes,
+      organisations: this.organisations(),
       provenance: configuration.provenance,
     };
   }
 
+  private organisations(): OrganisationState[] {
+    const organisations = this.dependencies.configuration()?.organisations.values() ?? [];
+    return [...organisations].map(({ keys, ...organisation }) => ({
+      ...organisation,
+      keys: keys.length,
+    }));
+  }
+
+  private proofAgeMs(): number | null {
+    return this.dependencies.proof?.current?.ageMs ?? null;
+  }
+
   private knowledgeAgeMs(): number | null {
     const { confirmedAt } = this.dependencies.heads.knowledge;
     return confirmedAt === undefined
@@ -165,6 +191,12 @@
         `can't confirm that this is current: knowledge is ${age ?? 'infinitely many'} ms old`,
       );
     }
+    const { proof } = this.dependencies;
+    if (proof?.isNeeded && !proof.isFresh) {
+      problems.push(
+        `refuses keys: the proof of the version in force is ${this.proofAgeMs() ?? 'infinitely many'} ms old`,
+      );
+    }
     if (unknownSchema !== undefined) {
       problems.push(`a record of schema ${unknownSchema} can't be read`);
     }
--- a/src/process/Types.ts
+++ b/src/process/Types.ts
@@ -14,7 +14,7 @@
 import type { GossipCounts } from '../connection/GossipMeter';
 import type { LinkState } from '../connection/Overlay';
 import type { LogReaderState, MemberRecord } from '../connection/Types';
-import type { Provenance, Route, Service } from '../version/Types';
+import type { Organisation, Provenance, Route, Service } from '../version/Types';
 
 /** Version in force on a daemon, as reported by the command `status`. */
 export interface DaemonStatus {
@@ -25,6 +25,8 @@
   readonly digest: string | null;
   /** Milliseconds since this version was last confirmed to be the newest in the log; null if never. */
   readonly knowledgeAgeMs: number | null;
+  /** Age in ms of the proof that this version is recent; null if there is none or no bound of revocation. */
+  readonly proofAgeMs: number | null;
   /** Reasons why the version may be outdated; empty if no problem is known. */
   readonly problems: readonly string[];
 }
@@ -36,6 +38,12 @@
   readonly reason: string | null;
 }
 
+/** An organisation, without its keys. */
+export interface OrganisationState extends Omit<Organisation, 'keys'> {
+  /** Number of its keys. */
+  readonly keys: number;
+}
+
 /** Complete state of a daemon, as reported by the command `dump`. */
 export interface DaemonDump {
   readonly status: DaemonStatus;
@@ -45,6 +53,7 @@
     readonly files: readonly string[];
     readonly services: readonly Service[];
     readonly routes: readonly RouteState[];
+    readonly organisations: readonly OrganisationState[];
     readonly provenance: readonly Provenance[];
   } | null;
   readonly log: LogReaderState & { readonly checkpointsWritten: number };
@@ -106,6 +115,10 @@
   readonly service: Service | null;
   readonly services: readonly Service[];
   readonly idempotent: boolean | null;
+  /** Whether the call needs the key of one of the organisations. */
+  readonly needsKey: boolean;
+  readonly organisations: readonly OrganisationState[];
+  readonly proofAgeMs: number | null;
   readonly upstreams: readonly unknown[];
   /** Why the call would be rejected; null if it would not. */
   readonly refusal: string | null;
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -589,6 +589,7 @@
     settings,
     members,
     heads,
+    proof,
     logReader: source.logReader,
     checkpointsWritten: source.checkpointsWritten,
     overlay,
