--- a/src/connection/FreshnessProof.test.ts
+++ b/src/connection/FreshnessProof.test.ts
@@ -197,4 +197,52 @@
   assert.ok(accepted > 0.2 * refused && refused > 0.1 * accepted, `${accepted}, ${refused}`);
 });
 
+/** Plays 60 s of a fleet without faults: three readers, and heartbeats with four random peers a second. */
+function playQuietFleet(size: number) {
+  const random = new SeededRandom(size);
+  const clock = new ManualClock();
+  const daemons = Array.from({ length: size }, (_, index) => ({
+    proof: new FreshnessProof(
+      () => v(7),
+      { boundMs: BOUND_MS, hasOrganisations: () => true },
+      clock,
+      () => clock.now(),
+    ),
+    links: Array.from({ length: 4 }, () => ({
+      peer: (index + 1 + random.below(size - 1)) % size,
+      dueAt: random.below(1_000),
+    })),
+    requestAt: random.below(250),
+  }));
+  const ages: number[] = [];
+  let beats = 0;
+  for (let now = 0; now < 60_000; now += 10) {
+    daemons.slice(0, 3).forEach(({ proof }, reader) => {
+      if ((now + reader * 330) % 1_000 === 0) proof.add(v(7), proof.now());
+    });
+    for (const daemon of daemons) {
+      const { proof, links } = daemon;
+      const isHastened = now >= daemon.requestAt && proof.isOlderThan(1 / 3);
+      if (now >= daemon.requestAt) daemon.requestAt += 250;
+      for (const link of links.filter(({ dueAt }) => isHastened || now >= dueAt)) {
+        const stated = daemons[link.peer]!.proof.current;
+        if (stated) proof.add(stated.version, proof.now(), stated.ageMs);
+        link.dueAt = now + 1_000;
+        if (now >= 10_000) beats += 1;
+      }
+      if (now >= 10_000) ages.push(proof.ageMs);
+    }
+    clock.advance(10);
+  }
+  ages.sort((a, b) => a - b);
+  const at = (share: number) => Math.round(ages[Math.floor(share * (ages.length - 1))]!);
+  return { p50: at(0.5), p99: at(0.99), max: at(1), beatsPerSecond: beats / size / 50 };
+}
+
+// Guards against proofs that are passed on so slowly that daemons refuse keys or read for themselves.
+test('on a quiet day every proof of 62 daemons is younger than half the bound', () => {
+  const { max, beatsPerSecond } = playQuietFleet(62);
+  assert.ok(max < 2_500 && beatsPerSecond < 6, `${max} ms, ${beatsPerSecond} heartbeats`);
+});
+
 test.run();
