Reject responses with a malformed status line

Cause: the HTTP client takes statuses from 600 to 999, the versions HTTP/0.9 and HTTP/2.0 and the protocols RTSP and ICE. They were forwarded to callers, and with the header of a refusal they were taken for "not run". On a status below 100 and on 101 the client fails an assertion of its own.

Change: AnswerFilter checks the start of each response before the client gets any of it, also for requests without an id: HTTP/1.0 or 1.1, and a status from 200 to 599 or an interim one other than 101. Otherwise the connection is closed, and the outcome of the request is unknown; a call that may run again is retried as after any lost response.

Result: LocalUpstream.faulty.test.ts sends 33 malformed heads as the first and as the second response of a connection. Already sound: content-length that is negative, signed, fractional, hexadecimal, empty, too large, a list or given twice; content-length with transfer-encoding; statuses that aren't three digits; other minor versions of HTTP/1. All of these end the call at once. A length of 2^63 and a transfer coding that doesn't end in "chunked" are read to the end of the connection or the deadline.

--- a/src/request/ConnectionMeter.ts
+++ b/src/request/ConnectionMeter.ts
@@ -35,16 +35,16 @@
    * client consumes received data.
    */
   public enforceLimit(): void {
-    if (this.consumedBytes - this.consumedAtReset > MAX_NON_BODY_BYTES) this.closeConnection();
+    if (this.consumedBytes - this.consumedAtReset > MAX_NON_BODY_BYTES) {
+      this.closeConnection('the upstream sends bytes of no answer without end');
+    }
   }
 
-  /** Closes the connection, as it receives an endless stream of bytes outside of response bodies. */
-  public closeConnection(): void {
+  /** @param reason - Why the connection is closed. */
+  public closeConnection(reason: string): void {
     // On a `SocketError` the HTTP client sends requests that are still queued over another
     // connection.
-    this.socket.destroy(
-      new errors.SocketError('the upstream sends bytes of no answer without end'),
-    );
+    this.socket.destroy(new errors.SocketError(reason));
   }
 
   /** Number of received bytes that the HTTP client has consumed. */
--- a/src/request/LocalUpstream.faulty.test.ts
+++ b/src/request/LocalUpstream.faulty.test.ts
@@ -219,6 +219,48 @@
   }
 });
 
+/** Heads that nothing may be taken from, each followed by a whole body. */
+const MALFORMED_HEADS = [
+  ...['000', '099', '101', '600', '700', '999', '20', '1000', '2xx'].flatMap((status) => [
+    `HTTP/1.1 ${status} X\r\nID\r\ncontent-length: LENGTH`,
+    `HTTP/1.1 ${status} X\r\nID\r\n${DEFAULT_HEADER_NAMES.notExecuted}: 1\r\ncontent-length: LENGTH`,
+  ]),
+  'HTTP/1.1 101 X\r\nconnection: upgrade\r\nupgrade: x',
+  ...['HTTP/2.0', 'HTTP/0.9', 'HTTP/1.2', 'RTSP/1.0'].map(
+    (version) => `${version} 200 OK\r\nID\r\ncontent-length: LENGTH`,
+  ),
+  ...['-1', '+5', '1.5', '0x5', 'LENGTH, LENGTH', '', '99999999999999999999'].map(
+    (length) => `HTTP/1.1 200 OK\r\nID\r\ncontent-length: ${length}`,
+  ),
+  'HTTP/1.1 200 OK\r\nID\r\ncontent-length: LENGTH\r\ncontent-length: 3',
+  'HTTP/1.1 200 OK\r\nID\r\ncontent-length: 3\r\ntransfer-encoding: chunked',
+  'HTTP/1.1 200 OK\r\nID\r\ntransfer-encoding: chunked\r\ncontent-length: 3',
+];
+
+// Guards against statuses that are forwarded, or that only a timeout ends, and against a next call that fails.
+test('a malformed head fails its call at once, on a connection that carries no further call', async () => {
+  const faults: string[] = [];
+  for (const [faultyIndex, head] of [0, 1].flatMap((at) =>
+    MALFORMED_HEADS.map((text) => [at, text] as const),
+  )) {
+    const connections: unknown[] = [];
+    const trial = new Trial(DEFAULT_HEADER_NAMES, ({ id, index, sent }) => {
+      connections.push(sent);
+      if (index !== faultyIndex) return [answer(id)];
+      const filled = head.replace('ID', `${ID}: ${id}`).replaceAll('LENGTH', '15');
+      return [`${filled}\r\n\r\n${bodyOf(id)}`];
+    });
+    await trial.start();
+    const told = [await trial.call('a'), await trial.call('b'), await trial.call('c')];
+    trial.stop();
+    const expected = ['answered', 'answered', 'answered'];
+    expected[faultyIndex] = 'UnknownOutcomeError';
+    const isReused = connections[faultyIndex] === connections[faultyIndex + 1];
+    if (told.join() !== expected.join() || isReused) faults.push(`${head}: ${told} ${isReused}`);
+  }
+  assert.equal(faults, []);
+});
+
 /** What a faulty upstream does with one request. */
 interface Fault {
   readonly kind: 'answer' | 'chunked' | 'refuse' | 'refuseWithoutId' | 'silent';
--- a/src/request/UpstreamConnection.ts
+++ b/src/request/UpstreamConnection.ts
@@ -140,8 +140,8 @@
       this.retire();
       this.onForeignAnswer(echoedId);
     };
-    const filter = new AnswerFilter(this.options.idHeader, onForeignAnswer, () =>
-      meter.closeConnection(),
+    const filter = new AnswerFilter(this.options.idHeader, onForeignAnswer, (reason) =>
+      meter.closeConnection(reason),
     );
     this.socket = socket;
     this.meter = meter;
