Share the quotas of organisations among all daemons

Cause: rate and burst of an organisation were declared, and nothing applied them.

Change: each daemon has an equal part of every quota and lends it to the owner of a credit pool for a time on that owner's clock (CreditPool). Owners grant credits, which count against the bucket's capacity until they are reported as spent or have expired. Parts are lent to one owner at a time, so the bound depends neither on who believes to be the owner nor on a learning period.

--- a/src/connection/Joiner.ts
+++ b/src/connection/Joiner.ts
@@ -46,6 +46,9 @@
    */
   public readonly onLookEnd = this.lookEmitter.event;
 
+  /** Whether seeds or stored contacts have named daemons besides this one. */
+  private foundContacts = false;
+
   /** Monotonic time in ms at which this daemon's contact was last stored. */
   private announcedAt: number | undefined;
 
@@ -64,6 +67,11 @@
     this.rank = new MemberRank(members, 'announcer');
   }
 
+  /** Whether seeds or stored contacts name daemons besides this one. */
+  public get hasContacts(): boolean {
+    return this.foundContacts;
+  }
+
   /** @param signal - Stops the task. */
   public async run(signal: AbortSignal): Promise<void> {
     let isolatedAttempts = 0;
@@ -98,6 +106,7 @@
 
   private async contactSeeds(): Promise<boolean> {
     const others = this.options.seeds().filter((address) => address !== this.members.self.address);
+    if (others.length > 0) this.foundContacts = true;
     return this.introduceToSome(
       others.map((address) => ({ id: address as string as DaemonId, address })),
       false,
@@ -110,6 +119,7 @@
       await sleep(this.random.below(FIRST_CONTACT_SPREAD_MS), signal);
       contacts = await this.store.contacts(signal);
     }
+    if (contacts.some(({ id }) => id !== this.members.self.id)) this.foundContacts = true;
     const reached = await this.introduceToSome(contacts, true);
     const announced = contacts.some(({ address }) => address === this.members.self.address);
     if (!reached && !announced) await this.announce();
--- a/src/connection/peerRouter.ts
+++ b/src/connection/peerRouter.ts
@@ -5,7 +5,7 @@
  */
 import { initTRPC } from '@trpc/server';
 import type PQueue from 'p-queue';
-import type { AttemptId, AttemptState } from '../request/Types';
+import type { AttemptId, AttemptState, QuotaReply, QuotaRequest } from '../request/Types';
 import type { Address, DaemonId, Incarnation } from '../common/Types';
 import type FetchLease from './FetchLease';
 import type Gossip from './Gossip';
@@ -18,6 +18,12 @@
   heartbeatRequestSchema,
   deltaRequestSchema,
 } from './messageSchema';
+import {
+  packQuotaReply,
+  quotaRequestSchema,
+  unpackQuotaRequest,
+  type PackedQuotaReply,
+} from './quotaMessages';
 import type {
   Heartbeat,
   HeartbeatReply,
@@ -42,6 +48,8 @@
   readonly queryQueue: PQueue;
   /** Returns the state of an attempt to run a call here, and forbids it if it has not arrived. */
   readonly fence: (attempt: AttemptId, giveUp: boolean) => AttemptState;
+  /** Grants credits of a pool that this daemon owns. */
+  readonly grantCredits: (request: QuotaRequest) => QuotaReply;
   /** Probes a member on a new connection. */
   readonly isReachable: (id: DaemonId, address: Address) => Promise<boolean>;
 }
@@ -137,6 +145,13 @@
       return { incarnation, state };
     }),
 
+    /** Lends the sender's part of the quotas of a pool, and grants it credits. */
+    quota: trpc.procedure
+      .input(quotaRequestSchema)
+      .mutation(({ input }): PackedQuotaReply =>
+        packQuotaReply(services.grantCredits(unpackQuotaRequest(input))),
+      ),
+
     /** Returns the id of this daemon. */
     identity: trpc.procedure.query((): DaemonId => members.self.id),
   });
--- a/src/process/DaemonMetrics.ts
+++ b/src/process/DaemonMetrics.ts
@@ -1,4 +1,5 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { OrganisationName } from '../common/Types';
 import type { CallReport } from '../request/CallHandler';
 
 /** Upper bounds of the buckets of the call duration histogram, in seconds. */
@@ -6,6 +7,10 @@
   0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10,
 ];
 const MS_PER_SECOND = 1_000;
+/** Number of organisations with metrics of their own; the calls of others are counted together. */
+const MAX_ORGANISATIONS = 100;
+/** Label of the organisations without metrics of their own; no organisation can have this name. */
+const OTHER_ORGANISATIONS = '(other)';
 /**
  * Part of the names of the metrics library's own event loop lag metrics, which `loop_lag_seconds`
  * replaces.
@@ -77,6 +82,10 @@
 
   private readonly attempts: Counter<'kind'>;
 
+  private readonly quotaRefusals: Counter<'organisation' | 'reason'>;
+
+  private readonly organisations = new Set<OrganisationName>();
+
   private readonly durations: Histogram;
 
   /** @param gauges - Functions that return the gauges' current values; called for each scrape. */
@@ -96,6 +105,12 @@
       labelNames: ['kind'],
       registers: [registry],
     });
+    this.quotaRefusals = new Counter({
+      name: 'azurestream_quota_refusals_total',
+      help: 'Calls refused for the quota of their organisation, by reason: over or cut.',
+      labelNames: ['organisation', 'reason'],
+      registers: [registry],
+    });
     this.durations = new Histogram({
       name: 'azurestream_call_duration_seconds',
       help: 'Time from the head of a request to the end of its answer.',
@@ -133,6 +148,17 @@
     this.attempts.inc({ kind });
   };
 
+  /**
+   * @param organisation - Organisation whose call was refused for its quota.
+   * @param isCut - Whether too few daemons could be reached to share the quota.
+   */
+  public readonly onQuotaRefusal = (organisation: OrganisationName, isCut: boolean): void => {
+    const { organisations } = this;
+    if (organisations.size < MAX_ORGANISATIONS) organisations.add(organisation);
+    const label = organisations.has(organisation) ? organisation : OTHER_ORGANISATIONS;
+    this.quotaRefusals.inc({ organisation: label, reason: isCut ? 'cut' : 'over' });
+  };
+
   /** @returns All metrics in the Prometheus text format. */
   public scrape(): Promise<string> {
     return this.registry.metrics();
--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -1,6 +1,7 @@
 import type { Clock, Offset } from '../common/Types';
 import type MemberTable from '../connection/MemberTable';
 import type Overlay from '../connection/Overlay';
+import type QuotaExchange from '../connection/QuotaExchange';
 import type PeerHeadTracker from '../connection/PeerHeadTracker';
 import type SocketMeter from '../connection/SocketMeter';
 import type { LogReaderState, MemberRecord } from '../connection/Types';
@@ -21,6 +22,7 @@
   readonly logReader: { readonly state: LogReaderState };
   readonly checkpointsWritten: () => number;
   readonly overlay: Overlay;
+  readonly quotas: QuotaExchange;
   readonly calls: CallHandler;
   readonly attempts: AttemptRegistry;
   readonly registration: UpstreamRegistration;
@@ -59,6 +61,7 @@
       digest: heads.head?.digest ?? null,
       knowledgeAgeMs: this.knowledgeAgeMs(),
       problems: this.problems(),
+      quotas: this.dependencies.quotas.state.organisations,
     };
   }
 
@@ -90,6 +93,7 @@
       links: dependencies.overlay.state,
       gossip: dependencies.overlay.counts,
       calls: { open: dependencies.calls.openCalls, rememberedAttempts: dependencies.attempts.size },
+      quotas: dependencies.quotas.state,
       upstream: dependencies.registration.status,
       controlBytes: dependencies.meter.bytes,
       memory: { residentBytes: rss, heapBytes: heapUsed },
--- a/src/process/Types.ts
+++ b/src/process/Types.ts
@@ -13,7 +13,9 @@
 } from '../common/Types';
 import type { GossipCounts } from '../connection/GossipMeter';
 import type { LinkState } from '../connection/Overlay';
+import type { QuotaState } from '../connection/QuotaExchange';
 import type { LogReaderState, MemberRecord } from '../connection/Types';
+import type { QuotaUse } from '../request/QuotaClient';
 import type { Provenance, Route, Service } from '../version/Types';
 
 /** Version in force on a daemon, as reported by the command `status`. */
@@ -27,6 +29,8 @@
   readonly knowledgeAgeMs: number | null;
   /** Reasons why the version may be outdated; empty if no problem is known. */
   readonly problems: readonly string[];
+  /** Quotas of the organisations that have sent calls here lately; older releases leave them out. */
+  readonly quotas?: readonly QuotaUse[];
 }
 
 /** A route and whether it is in force on this daemon. */
@@ -52,6 +56,7 @@
   readonly links: readonly LinkState[];
   readonly gossip: GossipCounts;
   readonly calls: { readonly open: number; readonly rememberedAttempts: number };
+  readonly quotas: QuotaState;
   readonly upstream: UpstreamStatus | null;
   readonly controlBytes: { readonly received: number; readonly sent: number };
   readonly memory: { readonly residentBytes: number; readonly heapBytes: number };
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -10,6 +10,7 @@
 import PlatformStore from '../../platform/PlatformStore';
 import ResourceStore from '../common/ResourceStore';
 import SeededRandom from '../common/SeededRandom';
+import SuspendAwareClock from '../common/SuspendAwareClock';
 import SystemClock from '../common/SystemClock';
 import type { AttemptNumber, Incarnation } from '../common/Types';
 import CheckpointWriter from '../connection/CheckpointWriter';
@@ -27,6 +28,7 @@
 import PeerHeadTracker from '../connection/PeerHeadTracker';
 import { createPeerRouter } from '../connection/peerRouter';
 import probeDaemon from '../connection/probeDaemon';
+import QuotaExchange from '../connection/QuotaExchange';
 import ReaderDoubt from '../connection/ReaderDoubt';
 import SocketMeter from '../connection/SocketMeter';
 import type {
@@ -403,6 +405,33 @@
   });
 }
 
+/** Creates the quotas of organisations, which daemons share. */
+function wireQuotas(
+  { settingsHolder, settings, resources, clock, random, meter, logger }: Core,
+  members: MemberTable,
+  { versions }: ConfigurationComponents,
+  { joiner }: PeerComponents,
+  metrics: DaemonMetrics,
+) {
+  return resources.add(
+    new QuotaExchange({
+      members,
+      versions,
+      meter,
+      clock: new SuspendAwareClock(clock, () => Date.now()),
+      random,
+      logger: logger('quota'),
+      tolerance: () => {
+        const { window, over, slack } = settingsHolder.current.organisations;
+        return { windowMs: window, over, slack };
+      },
+      hasContacts: () => joiner.hasContacts,
+      aloneMs: settings.peers.tombstone,
+      onRefusal: metrics.onQuotaRefusal,
+    }),
+  );
+}
+
 /** Reads the request body limit from the version in force, or from the settings if that sets none. */
 function maxBodyBytesReader({ current }: SettingsHolder, versions: VersionStore): () => number {
   const fallback = current.calls.max_body_bytes;
@@ -416,6 +445,7 @@
   { versions, heads }: ConfigurationComponents,
   { balancer, transport }: UpstreamComponents,
   metrics: DaemonMetrics,
+  quotas: QuotaExchange,
   readiness: Readiness,
   acceptDelays: AcceptDelays,
   listener: Listener,
@@ -456,6 +486,7 @@
     overloadGuard: new OverloadGuard(() => lag.currentMs, random),
     acceptedAfterMs: (socket) => acceptDelays.takeMaxDelayMs(socket),
     positionOf: (response) => listener.positionOf(response),
+    takeCredit: (organisation, quota) => quotas.take(organisation, quota),
     isCurrent: () => readiness.isCurrent,
     awaitsNewerVersion: () => heads.awaitsNewerVersion,
   });
@@ -505,6 +536,7 @@
   const peers = wirePeers(core, members, configuration);
   const upstreams = wireUpstreams(core, members, configuration, peers);
   const metrics = wireMetrics(core, members, configuration, peers, upstreams);
+  const quotas = wireQuotas(core, members, configuration, peers, metrics);
   const { versions, heads, source } = configuration;
   const { gossip, fetchLease, peerClient, overlay, joiner } = peers;
   const { attempts, registration } = upstreams;
@@ -523,6 +555,7 @@
     configuration,
     upstreams,
     metrics,
+    quotas,
     readiness,
     acceptDelays,
     listeners.calls,
@@ -537,6 +570,7 @@
     gossip,
     fetchLease,
     queryQueue: new PQueue({ concurrency: MAX_CONCURRENT_PEER_QUERIES }),
+    grantCredits: (request) => quotas.handle(request),
     fence: (attempt, giveUp) => attempts.fence(attempt, giveUp),
     isReachable: (id, address) => peerClient.isReachable(id, address),
   });
@@ -569,6 +603,7 @@
     logReader: source.logReader,
     checkpointsWritten: source.checkpointsWritten,
     overlay,
+    quotas,
     calls,
     attempts,
     registration,
@@ -593,6 +628,7 @@
       (signal) => overlay.run(signal),
       (signal) => overlay.contactLost(signal),
       (signal) => joiner.run(signal),
+      (signal) => quotas.run(signal),
     ],
     resources,
     clock,
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Logger, OrganisationName, Random, RequestId, ServiceName } from '../common/Types';
-import type { CurrentVersion, Route } from '../version/Types';
+import type { CurrentVersion, Organisation, Quota, Route } from '../version/Types';
 import AdaptiveThrottle from './AdaptiveThrottle';
 import Authenticator from './Authenticator';
 import Call, { type CallServices, type CallPolicy } from './Call';
@@ -12,6 +12,8 @@
 import DeadlineError from './DeadlineError';
 import NotRunError from './NotRunError';
 import type OverloadGuard from './OverloadGuard';
+import QuotaError from './QuotaError';
+import type { Credit } from './QuotaClient';
 import readRequest from './readRequest';
 import { refuseCall, relayAnswer, type Refusal } from './relayAnswer';
 import RequestError from './RequestError';
@@ -40,6 +42,9 @@
  */
 const MAX_CHAIN_ATTEMPTS = 1_000;
 
+/** HTTP status for a call whose organisation is over its quota. */
+const QUOTA_STATUS = 429;
+
 /** Limits on the body size of callers' requests and on the number of open calls. */
 export interface CallLimits {
   /**
@@ -76,6 +81,10 @@
   readonly acceptedAfterMs: (socket: Socket) => number;
   /** Returns the position of a response among the pipelined responses of its connection. */
   readonly positionOf: (response: ServerResponse) => PipelinePosition;
+  /**
+   * Takes a credit for a call of an organisation with a quota. Throws, or rejects, if there is none.
+   */
+  readonly takeCredit: (organisation: Organisation, quota: Quota) => Credit | Promise<Credit>;
   /** Whether the configuration in force is confirmed to be no older than that of other daemons. */
   readonly isCurrent: () => boolean;
   /** Whether a newer version of the configuration is known, which may come into force here. */
@@ -334,12 +343,15 @@
     }
     const leftMs = deadline - clock.now();
     if (leftMs <= 0) throw new NotRunError('its time had passed before it was read');
+    const credit = await this.takeCredit(policy.organisation);
     const times = { deadline, objective: arrivedAt + policy.route.objectiveMs };
     const budget = this.budget(policy.service.name);
     const throttle = this.throttle(policy);
     const call = new Call(request, policy, this.services, budget, throttle, times, attempts);
     Object.assign(record, { allowedMs: Math.round(allowedMs), call });
-    const answer = await this.withDeadline(message, leftMs, (signal) => call.run(signal));
+    const answer = await CallHandler.runWithCredit(credit, () =>
+      this.withDeadline(message, deadline - clock.now(), (signal) => call.run(signal)),
+    );
     this.stopGuard.recordDuration(policy.route, clock.now() - arrivedAt);
     const writable = await this.waitUntilWritable(message, response, record);
     // Nothing was written yet, so a 502 can be sent and the connection stays usable for the next
@@ -350,6 +362,24 @@
     Object.assign(record, { reason: 'the answer broke off, or the caller left' });
   }
 
+  private takeCredit(organisation: Organisation | undefined): Credit | Promise<Credit> | undefined {
+    const quota = organisation?.quota;
+    return quota && this.services.takeCredit(organisation, quota);
+  }
+
+  /** Runs a call and gives its credit back if it didn't run. */
+  private static async runWithCredit(
+    credit: Credit | undefined,
+    run: () => Promise<Answer>,
+  ): Promise<Answer> {
+    try {
+      return await run();
+    } catch (error) {
+      if (error instanceof NotRunError) credit?.giveBack();
+      throw error;
+    }
+  }
+
   private async refuse(
     refusal: Refusal,
     message: IncomingMessage,
@@ -494,6 +524,10 @@
   private toRefusal(error: Error): Refusal {
     const reason = error.message;
     if (error instanceof RequestError) return { status: error.status, outcome: 'not-run', reason };
+    if (error instanceof QuotaError) {
+      const { retryAfterMs } = error;
+      return { status: QUOTA_STATUS, outcome: 'not-run', reason, retryAfterMs };
+    }
     if (error instanceof NotRunError) {
       const { retryAdvice } = this.services;
       const retryAfterMs = error.details.daemonNotReady
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -378,3 +378,71 @@
    */
   watch(address: Address, watcher: PeerWatcher): Disposable;
 }
+
+/** What the bound on the calls of an organisation tolerates beyond its rate and burst. */
+export interface QuotaTolerance {
+  /** Length of the window in which calls are counted, in milliseconds. */
+  readonly windowMs: number;
+  /** Tolerated share beyond rate and burst, 0 to 1. */
+  readonly over: number;
+  /** Tolerated number of calls beyond that. */
+  readonly slack: number;
+}
+
+/** Credits of one organisation in a {@link QuotaRequest}; a credit permits one call. */
+export interface QuotaClaim {
+  readonly organisation: OrganisationName;
+  /** Credits that the sender holds, without those that it returns. */
+  readonly held: number;
+  /** Credits that the sender returns unspent. */
+  readonly returned: number;
+  /** Credits for calls that wait. */
+  readonly needed: number;
+  /** Credits for calls that are expected within a second. */
+  readonly wanted: number;
+}
+
+/** Message of a daemon to the owner of a credit pool. */
+export interface QuotaRequest {
+  readonly from: DaemonId;
+  /** Random number of the sender's process. */
+  readonly session: number;
+  readonly pool: number;
+  /** Increases with each request of the sender's process to any owner of the pool. */
+  readonly sequence: number;
+  /** Number of daemons that the sender knows, including those it can't reach. */
+  readonly known: number;
+  /**
+   * The owner's process and clock reading, from its latest reply. The sender lends its part of the rate to
+   * the owner until a fixed time after that reading; null: the sender lends nothing yet.
+   */
+  readonly lent: { readonly session: number; readonly stamp: number } | null;
+  /** Whether the sender takes its part of the rate back. */
+  readonly release: boolean;
+  readonly claims: readonly QuotaClaim[];
+}
+
+/** Reply to one claim. */
+export interface QuotaGrant {
+  readonly granted: number;
+  /** Whether the lifetime of the held credits starts anew. */
+  readonly renewed: boolean;
+  /** Milliseconds until the owner expects to have a credit. */
+  readonly waitMs: number;
+}
+
+/** Reply of the owner of a credit pool. */
+export interface QuotaReply {
+  /** Random number of the owner's process. */
+  readonly session: number;
+  /** The owner's clock, in milliseconds. */
+  readonly stamp: number;
+  /** Whether the sender's part of the rate is lent to the owner. */
+  readonly lent: boolean;
+  /** Share of the rate that is lent to the owner, 0 to 1. */
+  readonly share: number;
+  /** After a release: milliseconds until the sender may lend its part to another owner. */
+  readonly freeAfterMs: number;
+  /** Replies to the claims, in their order; empty if the request was outdated or lends nothing. */
+  readonly grants: readonly QuotaGrant[];
+}
