--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -2,6 +2,7 @@
 import type FreshnessProof from '../connection/FreshnessProof';
 import type MemberTable from '../connection/MemberTable';
 import type Overlay from '../connection/Overlay';
+import type QuotaExchange from '../connection/QuotaExchange';
 import type PeerHeadTracker from '../connection/PeerHeadTracker';
 import type SocketMeter from '../connection/SocketMeter';
 import type { LogReaderState, MemberRecord } from '../connection/Types';
@@ -30,6 +31,7 @@
   readonly logReader: { readonly state: LogReaderState };
   readonly checkpointsWritten: () => number;
   readonly overlay: Overlay;
+  readonly quotas: QuotaExchange;
   readonly calls: CallHandler;
   readonly attempts: AttemptRegistry;
   readonly registration: UpstreamRegistration;
@@ -69,6 +71,7 @@
       knowledgeAgeMs: this.knowledgeAgeMs(),
       proofAgeMs: this.proofAgeMs(),
       problems: this.problems(),
+      quotas: this.dependencies.quotas.state.organisations,
     };
   }
 
@@ -100,6 +103,7 @@
       links: dependencies.overlay.state,
       gossip: dependencies.overlay.counts,
       calls: { open: dependencies.calls.openCalls, rememberedAttempts: dependencies.attempts.size },
+      quotas: dependencies.quotas.state,
       upstream: dependencies.registration.status,
       controlBytes: dependencies.meter.bytes,
       memory: { residentBytes: rss, heapBytes: heapUsed },
