Decide for each service and zone which share of the calls leaves the zone

Cause: a constant cost was added to every call that leaves its zone, whatever its size, and each call was decided alone with stale reports. Responses of 90 kB and of 400 B cost the same, and calls left zones that had enough slots.

Change: upstreams report the rates at which calls arrive from each zone and the mean duration of calls, in optional fields of the load. ZoneOverflow derives demand and capacity of each zone from them and decides the share that leaves, with hysteresis, a log line and metrics. Leaving costs the round trip and the route's measured bytes, at zones.kilobyte_ms a kilobyte; staying costs the predicted waiting. A choice no longer filters the list of upstreams three times, which pays for the new work.

--- a/bench/balancer.ts
+++ b/bench/balancer.ts
@@ -19,6 +19,7 @@
   ZoneName,
 } from '../src/common/Types';
 import ForecastBalancer from '../src/request/ForecastBalancer';
+import ZoneOverflow from '../src/request/ZoneOverflow';
 import type {
   AttemptResult,
   Balancer,
@@ -64,6 +65,8 @@
   exclude: new Set(),
 };
 
+const ZONE_COSTS = { kilobyteMs: 1, roundTripMs: () => undefined };
+
 type UpstreamKind = 'sound' | 'slow' | 'cold' | 'lying';
 
 /** An upstream with concurrency slots and a FIFO queue, in virtual time. */
@@ -256,6 +259,7 @@
         { upstreams: () => upstreams },
         { isUnresponsive: () => false },
         'coq' as ZoneName,
+        new ZoneOverflow('coq' as ZoneName, ZONE_COSTS, clock, { log: () => undefined }),
         clock,
         random,
       ),
--- a/src/connection/Overlay.ts
+++ b/src/connection/Overlay.ts
@@ -4,7 +4,7 @@
 import Emitter from '../common/Emitter';
 import sleep from '../common/sleep';
 import withLinkedSignal from '../common/withLinkedSignal';
-import type { Clock, DaemonId, Disposable, Random } from '../common/Types';
+import type { Clock, DaemonId, Disposable, Random, ZoneName } from '../common/Types';
 import type { GossipCounts } from './GossipMeter';
 import type PeerClient from './PeerClient';
 import PeerLink, { type LinkServices } from './PeerLink';
@@ -80,6 +80,21 @@
     return [...this.links].map(([peer, { link }]) => ({ peer, up: link.isUp }));
   }
 
+  /**
+   * @param zone - Name of a zone.
+   * @returns Shortest mean round trip, in ms, on the links to the zone; `undefined` without a link.
+   */
+  public roundTripMs(zone: ZoneName): number | undefined {
+    let shortest: number | undefined;
+    for (const { link } of this.links.values()) {
+      const { peer, roundTripMs } = link;
+      if (link.isUp && peer.zone === zone && roundTripMs !== undefined) {
+        shortest = Math.min(shortest ?? Infinity, roundTripMs);
+      }
+    }
+    return shortest;
+  }
+
   /** Gossip counters since the start of the process. */
   public get counts(): GossipCounts {
     return this.services.gossip.meter.counts;
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -85,6 +85,11 @@
     return this.up;
   }
 
+  /** Mean time in ms until the peer responds; `undefined` before its first response. */
+  public get roundTripMs(): number | undefined {
+    return this.roundTrips.averageMs || undefined;
+  }
+
   /** Current operation of the link, or the last one if the link has ended. */
   public get stage(): LinkStage {
     return this.currentStage;
--- a/src/connection/RoundTripEstimate.ts
+++ b/src/connection/RoundTripEstimate.ts
@@ -19,6 +19,11 @@
 
   private deviationMs = 0;
 
+  /** Mean round trip in ms; 0 before the first. */
+  public get averageMs(): number {
+    return this.meanMs;
+  }
+
   /** Time in ms after which a response is late. */
   public get lateMs(): number {
     const expectedMs = this.meanMs + DEVIATIONS * this.deviationMs;
--- a/src/process/DaemonMetrics.ts
+++ b/src/process/DaemonMetrics.ts
@@ -1,5 +1,6 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { CallReport } from '../request/CallHandler';
+import type ZoneOverflow from '../request/ZoneOverflow';
 
 /** Upper bounds of the buckets of the call duration histogram, in seconds. */
 const CALL_BUCKETS_SECONDS = [
@@ -122,6 +123,24 @@
     this.gauge(['calls_open', 'Calls that have not ended.'], read);
   }
 
+  /** @param overflow - Decides which share of the calls to each service leaves the zone. */
+  public watchZones(overflow: Pick<ZoneOverflow, 'shares' | 'changes'>): void {
+    const shares: Gauge = new Gauge({
+      name: 'azurestream_zone_leave_share',
+      help: 'Share of the calls to a service that is sent to other zones.',
+      labelNames: ['service'],
+      registers: [this.registry],
+      collect: () => {
+        shares.reset();
+        for (const [service, share] of overflow.shares) shares.set({ service }, share);
+      },
+    });
+    this.gauge(
+      ['zone_leave_changes', 'Changes of the shares of calls that leave the zone.'],
+      () => overflow.changes,
+    );
+  }
+
   /** @param report - Outcome and duration of a call that has ended. */
   public readonly onCall = (report: CallReport): void => {
     this.calls.inc({ outcome: report.outcome });
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -401,6 +401,7 @@
       clock,
       logger,
       onUnreachable: () => this.markUnreachable(registered.announcement.instance),
+      zoneOf: (daemon) => this.services.members.get(daemon)?.zone,
     });
   }
 
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -17,6 +17,8 @@
 const MAX_SLACK = 1_000_000;
 const SLACK_EXPECTED = `a number from 0 to ${MAX_SLACK}`;
 const LINK_EXPECTED = 'a number of Mbit/s above 0';
+const MAX_KILOBYTE_MS = 10_000;
+const KILOBYTE_EXPECTED = `a number of milliseconds from 0 to ${MAX_KILOBYTE_MS}`;
 const RATIO_EXPECTED = 'a number from 0 to 1';
 
 const address = z
@@ -41,6 +43,10 @@
   .number({ error: RATIO_EXPECTED })
   .min(0, { error: RATIO_EXPECTED })
   .max(1, { error: RATIO_EXPECTED });
+const kilobyteMs = z
+  .number({ error: KILOBYTE_EXPECTED })
+  .min(0, { error: KILOBYTE_EXPECTED })
+  .max(MAX_KILOBYTE_MS, { error: KILOBYTE_EXPECTED });
 const name = z
   .string({ error: 'a name' })
   .regex(/^[\w.:-]{1,128}$/, { error: 'a name of letters, digits, dots, colons and hyphens' });
@@ -116,6 +122,15 @@
       rollback: duration('5s'),
     })
     .prefault({}),
+  zones: z
+    .strictObject({
+      /**
+       * A kilobyte occupies the slowest links of VMs, of 7 Mbit/s, for 1.15 ms, during which the
+       * responses behind it wait.
+       */
+      kilobyte_ms: kilobyteMs.default(1.15),
+    })
+    .prefault({}),
   logging: z
     .strictObject({
       lines_per_second: integer(1, 100_000, 100),
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -47,6 +47,7 @@
 import PeerTransport from '../request/PeerTransport';
 import RetryAdvice from '../request/RetryAdvice';
 import RoutingTransport from '../request/RoutingTransport';
+import ZoneOverflow from '../request/ZoneOverflow';
 import mergeAccepted from '../version/mergeAccepted';
 import { mergeSteps } from '../version/mergeFolder';
 import mergePublication from '../version/mergePublication';
@@ -356,7 +357,17 @@
       logger('peer'),
     ),
   );
-  const balancer = new ForecastBalancer(members, liveness, settings.daemon.zone, clock, random);
+  const { zone } = settings.daemon;
+  const overflow = new ZoneOverflow(
+    zone,
+    {
+      kilobyteMs: settings.zones.kilobyte_ms,
+      roundTripMs: (other) => overlay.roundTripMs(other),
+    },
+    clock,
+    logger('zones'),
+  );
+  const balancer = new ForecastBalancer(members, liveness, zone, overflow, clock, random);
   const sweepTimer = setInterval(() => {
     balancer.forgetUnused();
     channels.closeIdle();
@@ -367,7 +378,7 @@
     () => registration.local?.upstream,
     new PeerTransport(channels, createFence(peerClient), liveness, calls.silence, clock),
   );
-  return { attempts, registration, balancer, transport };
+  return { attempts, registration, balancer, overflow, transport };
 }
 
 type UpstreamComponents = ReturnType<typeof wireUpstreams>;
@@ -507,7 +518,8 @@
   const metrics = wireMetrics(core, members, configuration, peers, upstreams);
   const { versions, heads, source } = configuration;
   const { gossip, fetchLease, peerClient, overlay, joiner } = peers;
-  const { attempts, registration } = upstreams;
+  const { attempts, registration, overflow } = upstreams;
+  metrics.watchZones(overflow);
   const readiness = new Readiness(
     {
       hasConfiguration: () => versions.snapshot !== undefined,
--- a/src/request/AdmissionController.ts
+++ b/src/request/AdmissionController.ts
@@ -189,6 +189,11 @@
     return this.serviceTimes.averageMs(route);
   }
 
+  /** Average time in ms that calls of all routes hold a slot; `undefined` before the first. */
+  public get meanDurationMs(): number | undefined {
+    return this.serviceTimes.meanMs || undefined;
+  }
+
   /**
    * Waits for a slot.
    *
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -368,6 +368,7 @@
       result = RETRYABLE_STATUSES.has(answer.status)
         ? { kind: 'failed' }
         : { kind: 'answered', latencyMs, load: answer.load };
+      if (result.kind === 'answered') this.measureBytes(answer);
       return answer;
     } catch (error) {
       trace.result = (error as Error).message;
@@ -386,6 +387,19 @@
     }
   }
 
+  /** Reports the size of an exchange to the balancer, at the end of its body if none was declared. */
+  private measureBytes(answer: Answer): void {
+    const { balancer } = this.services;
+    if (!balancer.recordBytes) return;
+    const { service, route } = this.policy;
+    const sentBytes = this.request.body?.length ?? 0;
+    const record = (bytes: number) =>
+      balancer.recordBytes?.(service.name, route.name, sentBytes + bytes);
+    const declared = answer.headers['content-length'];
+    if (declared !== undefined) record(Number(declared) || 0);
+    else answer.onceClosed?.(() => record(answer.receivedBytes ?? 0));
+  }
+
   private trace(
     upstream: Upstream,
     { id }: AttemptContext,
--- a/src/request/ForecastBalancer.test.ts
+++ b/src/request/ForecastBalancer.test.ts
@@ -12,6 +12,7 @@
 } from '../common/Types';
 import ForecastBalancer from './ForecastBalancer';
 import type { Upstream, UpstreamLoad } from './Types';
+import ZoneOverflow from './ZoneOverflow';
 
 const SERVICE = 'stock' as ServiceName;
 const ROUTE = 'lookup' as RouteName;
@@ -45,6 +46,11 @@
   lagMs: 0,
 };
 
+function createOverflow(clock: ManualClock): ZoneOverflow {
+  const costs = { kilobyteMs: 1, roundTripMs: () => 2 };
+  return new ZoneOverflow('coq' as ZoneName, costs, clock, { log: () => undefined });
+}
+
 /** Share of calls sent to the upstream in the daemon's zone while it reports the given load. */
 function shareOfOwnZone(own: Partial<UpstreamLoad>, unresponsive: readonly Address[] = []): number {
   const clock = new ManualClock();
@@ -52,6 +58,7 @@
     { upstreams: () => [SAME_ZONE_UPSTREAM, OTHER_ZONE_UPSTREAM] },
     { isUnresponsive: (address) => unresponsive.includes(address) },
     'coq' as ZoneName,
+    createOverflow(clock),
     clock,
     new SeededRandom(5),
   );
@@ -106,6 +113,7 @@
     { upstreams: () => [SAME_ZONE_UPSTREAM, OTHER_ZONE_UPSTREAM] },
     { isUnresponsive: () => false },
     'coq' as ZoneName,
+    createOverflow(clock),
     clock,
     new SeededRandom(5),
   );
--- a/src/request/ForecastBalancer.ts
+++ b/src/request/ForecastBalancer.ts
@@ -1,5 +1,6 @@
 import type { Clock, DaemonId, Random, RouteName, ServiceName, ZoneName } from '../common/Types';
 import UpstreamStatistics from './UpstreamStatistics';
+import type ZoneOverflow from './ZoneOverflow';
 import type {
   AttemptResult,
   Balancer,
@@ -26,8 +27,16 @@
  * divided by the latency objective; 4.25 fits durations with a relative spread of 0.4.
  */
 const LATE_STEEPNESS = 4.25;
-/** Cost of the traffic if a call is sent to another zone, from the users' price sheets. */
-const CROSS_ZONE_COST = 0.09;
+/**
+ * Lowest difference of costs at which a call leaves the zone while the zone's demand isn't known; four
+ * times the noise, as reports may be off by that much.
+ */
+const LEAVE_MARGIN = 0.08;
+/**
+ * Difference of the harm to one call, in value, from which it goes to another zone than its share has
+ * it: where the upstreams of a zone fail a sixth of their calls or make them late.
+ */
+const EXCEPTION_MARGIN = 0.25;
 /** Utilisation of an upstream's slots, 0 to 1, above which a further call delays others. */
 const CONGESTION_THRESHOLD = 0.75;
 /** Cost of the delay that one more call causes to others at an upstream with all slots in use. */
@@ -70,6 +79,18 @@
   count: number;
 }
 
+/** What a call may expect at an upstream; times are in milliseconds. */
+interface Forecast {
+  /** Cost that the call is late or fails. */
+  harm: number;
+  /** Wait for a slot. */
+  waitMs: number;
+  /** Time until the response, including the cost of leaving the zone. */
+  expectedMs: number;
+  /** Calls at the upstream, as a ratio of its slots. */
+  utilisation: number;
+}
+
 /** Modelled share of late responses for a given ratio of expected time to latency objective. */
 function lateShare(ratio: number): number {
   if (ratio <= 0) return 0;
@@ -84,14 +105,14 @@
 
 /**
  * Places each call at the upstream with the lowest predicted cost: the cost of a late response, of
- * a failure, of traffic between zones and of congestion for other calls.
+ * a failure and of congestion for other calls.
  *
  * Handles upstreams of one service whose speeds differ by a factor of three without configuration,
  * zones that are loaded unevenly, and upstreams that fail some of their calls, are cold or can't be
  * reached. The prediction combines the load and duration that an upstream's daemon reports with
- * each response, weighted by age, and the calls that this daemon has sent since then. A call goes
- * to another zone as soon as the lower predicted cost there outweighs the cost of the traffic
- * between zones.
+ * each response, weighted by age, and the calls that this daemon has sent since then. How many calls
+ * go to another zone is decided by {@link ZoneOverflow}; single calls deviate from it where the
+ * upstreams of one zone fail or are late.
  */
 export default class ForecastBalancer implements Balancer {
   private readonly statistics = new Map<DaemonId, UpstreamStatistics>();
@@ -102,27 +123,54 @@
     private readonly directory: UpstreamDirectory,
     private readonly liveness: Pick<Liveness, 'isUnresponsive'>,
     private readonly zone: ZoneName,
+    private readonly overflow: ZoneOverflow,
     private readonly clock: Clock,
     private readonly random: Random,
   ) {}
 
   public choose(placement: PlacementCriteria): Upstream | undefined {
     const now = this.clock.now();
-    const untried = this.directory
-      .upstreams(placement.service)
-      .filter(({ daemon }) => !placement.exclude.has(daemon));
-    const pool = this.eligible(untried, now);
-    let best: Upstream | undefined;
-    let bestCost = Infinity;
+    const pool = this.eligible(this.directory.upstreams(placement.service), placement.exclude, now);
+    const bytesMs = this.overflow.bytesCostMs(placement.service, placement.route);
+    let home: Upstream | undefined;
+    let homeCost = Infinity;
+    let away: Upstream | undefined;
+    let awayCost = Infinity;
     for (const candidate of pool) {
       const noise = (MAX_NOISE * this.random.below(NOISE_STEPS)) / NOISE_STEPS;
-      const cost = this.cost(candidate, placement, now) + noise;
-      if (cost < bestCost) {
-        best = candidate;
-        bestCost = cost;
+      if (candidate.zone === this.zone) {
+        const cost = this.cost(candidate, placement, 0, now) + noise;
+        if (cost < homeCost) {
+          home = candidate;
+          homeCost = cost;
+        }
+      } else {
+        const leaveMs = bytesMs + this.overflow.roundTripMs(candidate.zone);
+        const cost = this.cost(candidate, placement, leaveMs, now) + noise;
+        if (cost < awayCost) {
+          away = candidate;
+          awayCost = cost;
+        }
       }
     }
-    return best;
+    if (!home || !away) return home ?? away;
+    // A call that was refused or lost goes wherever it is expected to fare best.
+    const leaves =
+      placement.exclude.size > 0
+        ? undefined
+        : this.overflow.leaves(placement.service, placement.route, pool, (daemon) =>
+            this.statistics.get(daemon),
+          );
+    if (leaves === undefined) return homeCost <= awayCost + LEAVE_MARGIN ? home : away;
+    const leaveMs = bytesMs + this.overflow.roundTripMs(away.zone);
+    const atHome = this.forecast(home, placement, 0, now);
+    const abroad = this.forecast(away, placement, leaveMs, now);
+    if (leaves) return ForecastBalancer.isException(atHome, abroad) ? home : away;
+    return ForecastBalancer.isException(abroad, atHome) ? away : home;
+  }
+
+  public recordBytes(service: ServiceName, route: RouteName, bytes: number): void {
+    this.overflow.recordBytes(service, route, bytes);
   }
 
   public begin({ daemon }: Upstream): void {
@@ -176,31 +224,72 @@
    * Excludes upstreams whose daemon is unresponsive, that are ejected, or that gossip suspects. If
    * none is left, these exclusions are lifted in reverse order.
    */
-  private eligible(upstreams: readonly Upstream[], now: number): readonly Upstream[] {
-    const responsive = upstreams.filter(({ address }) => !this.liveness.isUnresponsive(address));
-    const notEjected = responsive.filter(
-      ({ daemon }) => now >= (this.statistics.get(daemon)?.ejectedUntil ?? 0),
-    );
-    const unsuspected = notEjected.filter(({ suspect }) => !suspect);
-    return [unsuspected, notEjected, responsive, upstreams].find(({ length }) => length > 0) ?? [];
+  private eligible(
+    upstreams: readonly Upstream[],
+    exclude: ReadonlySet<DaemonId>,
+    now: number,
+  ): readonly Upstream[] {
+    let pool: Upstream[] = [];
+    let lowest = Infinity;
+    for (const upstream of upstreams) {
+      if (!exclude.has(upstream.daemon)) {
+        const exclusion = this.exclusion(upstream, now);
+        if (exclusion < lowest) {
+          lowest = exclusion;
+          pool = [];
+        }
+        if (exclusion === lowest) pool.push(upstream);
+      }
+    }
+    return pool;
+  }
+
+  /** Rank of the reason to exclude an upstream; 0 if there is none, the highest is lifted last. */
+  private exclusion({ address, daemon, suspect }: Upstream, now: number): number {
+    if (this.liveness.isUnresponsive(address)) return 3;
+    if (now < (this.statistics.get(daemon)?.ejectedUntil ?? 0)) return 2;
+    return suspect ? 1 : 0;
   }
 
-  private cost(upstream: Upstream, placement: PlacementCriteria, now: number): number {
+  /** Cost of sending a call to an upstream: the harm to the call itself and to others. */
+  private cost(
+    upstream: Upstream,
+    placement: PlacementCriteria,
+    leaveMs: number,
+    now: number,
+  ): number {
+    const { harm, utilisation } = this.forecast(upstream, placement, leaveMs, now);
+    const congestion = Math.max(0, utilisation - CONGESTION_THRESHOLD) / (1 - CONGESTION_THRESHOLD);
+    return harm + CONGESTION_COST * congestion;
+  }
+
+  /** Times that a call is expected to take at an upstream, and the harm to it alone. */
+  private forecast(
+    upstream: Upstream,
+    placement: PlacementCriteria,
+    leaveMs: number,
+    now: number,
+  ): Forecast {
     const stats = this.statistics.get(upstream.daemon);
-    const durationMs = this.durationMs(upstream, stats, placement, now);
     const slots = stats?.load?.slots ?? upstream.slots ?? placement.slots;
     const expectedLoad = this.expectedLoad(stats, now);
+    const durationMs = this.durationMs(upstream, stats, placement, now);
     const waitMs = expectedLoad < slots ? 0 : ((expectedLoad - slots + 1) * durationMs) / slots;
-    const expectedMs = waitMs + durationMs + this.lagMs(stats, now);
+    const expectedMs = waitMs + durationMs + leaveMs + this.lagMs(stats, now);
     const ratio = expectedMs / Math.max(1, placement.objectiveMs);
-    const congestion =
-      Math.max(0, expectedLoad / slots - CONGESTION_THRESHOLD) / (1 - CONGESTION_THRESHOLD);
-    return (
-      LATE_COST * lateShare(ratio) +
-      CONGESTION_COST * congestion +
-      FAILURE_COST * this.failureShare(upstream, stats, now) +
-      (upstream.zone === this.zone ? 0 : CROSS_ZONE_COST)
-    );
+    const harm =
+      LATE_COST * lateShare(ratio) + FAILURE_COST * this.failureShare(upstream, stats, now);
+    return { harm, waitMs, expectedMs, utilisation: expectedLoad / slots };
+  }
+
+  /**
+   * Whether a call goes to one upstream although the share of its zone has it that it goes to the
+   * zone of another: because the other is likely to fail the call or to be late, or because all slots
+   * of the other zone are in use and the call would wait longer there than leaving costs.
+   */
+  private static isException(chosen: Forecast, other: Forecast): boolean {
+    if (other.harm - chosen.harm > EXCEPTION_MARGIN) return true;
+    return other.waitMs > 0 && other.expectedMs > chosen.expectedMs;
   }
 
   /** Event loop lag that the upstream's daemon reported, in ms, weighted by the report's age. */
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -1,5 +1,14 @@
-import type { Address, Clock, Disposable, InstanceId, Logger } from '../common/Types';
+import type {
+  Address,
+  Clock,
+  DaemonId,
+  Disposable,
+  InstanceId,
+  Logger,
+  ZoneName,
+} from '../common/Types';
 import AdmissionController, { type Release, type UpstreamLimits } from './AdmissionController';
+import ArrivalRates from './ArrivalRates';
 import type AttemptRegistry from './AttemptRegistry';
 import AnswerMatcher, { MISDIRECTED_REQUEST_STATUS, type AnswerMatch } from './AnswerMatcher';
 import { upstreamHeaders } from './callHeaders';
@@ -60,6 +69,8 @@
   readonly logger: Logger;
   /** Called when a connection to the upstream can't be established. */
   readonly onUnreachable: () => void;
+  /** Returns the zone of a daemon; without it, arrivals aren't reported by zone. */
+  readonly zoneOf?: (daemon: DaemonId) => ZoneName | undefined;
 }
 
 /**
@@ -80,6 +91,8 @@
 
   private readonly statistics: RouteStatistics;
 
+  private readonly arrivals = new ArrivalRates();
+
   /** Moving average of the share of calls that failed at the upstream, 0 to 1. */
   private failureShare = 0;
 
@@ -128,6 +141,8 @@
       durationMs: this.admission.durationMs(route),
       failureShare: this.failureShare,
       lagMs: this.services.lagMs(),
+      meanMs: this.admission.meanDurationMs,
+      arrivals: this.arrivals.report(this.services.clock.now()),
     };
   }
 
@@ -155,6 +170,8 @@
     const { id } = context;
     const arrivedAt = clock.now();
     let startedAt: number | undefined;
+    const callerZone = this.services.zoneOf?.(id.daemon);
+    if (callerZone !== undefined) this.arrivals.record(callerZone, arrivedAt);
     if (this.draining) throw new NotRunError('the upstream takes no new work');
     if (!registry.admit(id)) throw new NotRunError('the attempt was forbidden before it came');
     let mayHaveRun = false;
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -8,6 +8,7 @@
 import type {
   Address,
   AttemptNumber,
+  Branded,
   DaemonId,
   Disposable,
   Incarnation,
@@ -207,6 +208,10 @@
   readonly completeBody?: Buffer | undefined;
   /** Whether the body was truncated or aborted. */
   readonly isBroken?: boolean;
+  /** Number of body bytes received so far. */
+  readonly receivedBytes?: number;
+  /** @param listener - Called once, when the body is complete, truncated or abandoned. */
+  onceClosed?(listener: () => void): void;
   /**
    * Streams the body with backpressure; may be called once.
    *
@@ -258,6 +263,9 @@
   ): Promise<Answer>;
 }
 
+/** Short key of a zone in load reports. */
+export type ZoneKey = Branded<number, 'ZoneKey'>;
+
 /** Load of an upstream, which the daemon beside it reports with responses and refusals. */
 export interface UpstreamLoad {
   /** Number of running calls, each of which holds a slot. */
@@ -276,6 +284,16 @@
   readonly failureShare: number;
   /** Event loop lag of the daemon beside the upstream, in milliseconds. */
   readonly lagMs: number;
+  /**
+   * Average duration, in milliseconds, of calls of all routes; `undefined` before the first call, and from
+   * older releases.
+   */
+  readonly meanMs?: number | undefined;
+  /**
+   * Rates at which calls arrive: keys of the zones that they come from and whole calls per second,
+   * alternating; `undefined` from older releases.
+   */
+  readonly arrivals?: readonly number[] | undefined;
 }
 
 /** Criteria by which the balancer chooses an upstream for a call. */
@@ -316,6 +334,14 @@
    * @returns Last reported load of the upstream, if any.
    */
   reportedLoad(upstream: Upstream): ReportedLoad | undefined;
+  /**
+   * Records the traffic of an answered call, from which the cost of leaving the zone follows.
+   *
+   * @param service - Name of the service.
+   * @param route - Route to the service.
+   * @param bytes - Size of the bodies of the request and of the response.
+   */
+  recordBytes?(service: ServiceName, route: RouteName, bytes: number): void;
 }
 
 /** The last load report of an upstream, and its age. */
--- a/src/request/UpstreamStatistics.ts
+++ b/src/request/UpstreamStatistics.ts
@@ -66,6 +66,7 @@
    * @returns Share of the recent attempts that failed, 0 to 1; it decays with time.
    */
   public failureShareAt(now: number): number {
+    if (this.failureShare === 0) return 0;
     return this.failureShare * 2 ** ((this.failedAt - now) / FAILURE_HALF_LIFE_MS);
   }
 
--- a/src/request/channelFrames.test.ts
+++ b/src/request/channelFrames.test.ts
@@ -20,7 +20,7 @@
   fc.record(shape, { noNullPrototype: true });
 const count = fc.nat(1_000_000);
 const bytes = fc.uint8Array({ maxLength: 64 }).map((array) => Buffer.from(array));
-const load = record({
+const earlierLoad = record({
   running: fc.nat(40),
   waiting: fc.nat(40),
   slots: fc.integer({ min: 1, max: 64 }),
@@ -29,6 +29,12 @@
   failureShare: fc.nat(100).map((percent) => percent / 100),
   lagMs: count,
 });
+/** Fields that older releases leave out. */
+const laterLoad = fc.record(
+  { meanMs: count, arrivals: fc.array(count) },
+  { requiredKeys: [], noNullPrototype: true },
+);
+const load = fc.tuple(earlierLoad, laterLoad).map(([earlier, later]) => ({ ...earlier, ...later }));
 
 /**
  * Generates call frames. Times are whole milliseconds, because frames carry the rounded time left;
--- a/src/request/channelFrames.ts
+++ b/src/request/channelFrames.ts
@@ -117,6 +117,7 @@
 function encodeLoad(load: UpstreamLoad | undefined): Fields | null {
   if (!load) return null;
   const { running, waiting, slots, waitMs, durationMs, failureShare, lagMs } = load;
+  const { meanMs, arrivals } = load;
   return [
     running,
     waiting,
@@ -125,6 +126,8 @@
     durationMs === undefined ? null : Math.round(durationMs),
     Math.round(failureShare * FAILURE_SHARE_SCALE),
     Math.round(lagMs),
+    meanMs === undefined ? null : Math.round(meanMs),
+    arrivals ?? null,
   ];
 }
 
@@ -212,15 +215,30 @@
   return Buffer.from(value.buffer, value.byteOffset, value.byteLength);
 }
 
+function isPresent(value: unknown): boolean {
+  return value !== null && value !== undefined;
+}
+
 function decodeOptional<Value>(
   value: unknown,
   decodeValue: (value: unknown) => Value,
 ): Value | undefined {
-  return value === null || value === undefined ? undefined : decodeValue(value);
+  return isPresent(value) ? decodeValue(value) : undefined;
 }
 
 function decodeLoad(value: unknown): UpstreamLoad {
-  const [running, waiting, slots, waitMs, durationMs, failurePercent, lagMs] = expectArray(value);
+  const [
+    running,
+    waiting,
+    slots,
+    waitMs,
+    durationMs,
+    failurePercent,
+    lagMs,
+    // Older releases leave these out.
+    meanMs,
+    arrivals,
+  ] = expectArray(value);
   return {
     running: expectNumber(running),
     waiting: expectNumber(waiting),
@@ -229,6 +247,8 @@
     durationMs: decodeOptional(durationMs, expectNumber),
     failureShare: expectNumber(failurePercent) / FAILURE_SHARE_SCALE,
     lagMs: expectNumber(lagMs),
+    ...(isPresent(meanMs) && { meanMs: expectNumber(meanMs) }),
+    ...(isPresent(arrivals) && { arrivals: expectArray(arrivals).map(expectNumber) }),
   };
 }
 
