--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -51,6 +51,7 @@
 import RetryAdvice from '../request/RetryAdvice';
 import RoutingTransport from '../request/RoutingTransport';
 import UpstreamRuns from '../request/UpstreamRuns';
+import ZoneOverflow from '../request/ZoneOverflow';
 import mergeAccepted from '../version/mergeAccepted';
 import { mergeSteps } from '../version/mergeFolder';
 import mergePublication from '../version/mergePublication';
@@ -381,7 +382,17 @@
       logger('peer'),
     ),
   );
-  const balancer = new ForecastBalancer(members, liveness, settings.daemon.zone, clock, random);
+  const { zone } = settings.daemon;
+  const overflow = new ZoneOverflow(
+    zone,
+    {
+      kilobyteMs: settings.zones.kilobyte_ms,
+      roundTripMs: (other) => overlay.roundTripMs(other),
+    },
+    clock,
+    logger('zones'),
+  );
+  const balancer = new ForecastBalancer(members, liveness, zone, overflow, clock, random);
   const sweepTimer = setInterval(() => {
     balancer.forgetUnused();
     channels.closeIdle();
@@ -392,7 +403,7 @@
     () => registration.local?.upstream,
     new PeerTransport(channels, createFence(peerClient), liveness, calls.silence, clock),
   );
-  return { attempts, runs, registration, balancer, transport };
+  return { attempts, runs, registration, balancer, overflow, transport };
 }
 
 type UpstreamComponents = ReturnType<typeof wireUpstreams>;
@@ -567,7 +578,8 @@
   const quotas = wireQuotas(core, members, configuration, peers, metrics);
   const { versions, heads, source, proof } = configuration;
   const { gossip, fetchLease, peerClient, overlay, joiner } = peers;
-  const { attempts, registration } = upstreams;
+  const { attempts, registration, overflow } = upstreams;
+  metrics.watchZones(overflow);
   const readiness = new Readiness(
     {
       hasConfiguration: () => versions.snapshot !== undefined,
