Test proofs that come from a peer and a daemon that was frozen

Cause: both daemons of the process test read the store themselves, so that it held without proofs from peers, and no process was frozen in it.

Change: the daemon first loses the store only and goes on with its peer's proofs; a second scenario stops a daemon while its key is removed.

--- a/test/revokedKeys.test.ts
+++ b/test/revokedKeys.test.ts
@@ -41,78 +41,112 @@
   return statusCode === 503 && reason.includes('key') ? 'not confirmed' : `${statusCode}`;
 }
 
-// Guards against a daemon that is cut off and goes on accepting a key that was removed.
-scenario(
-  'a daemon that is cut off refuses keys after the bound and serves public routes',
-  async () => {
-    const fleet = new Fleet();
-    const store = new PlatformStoreServer();
-    const storePaths = [new TcpProxy(), new TcpProxy()];
-    const peerPaths = [new TcpProxy(), new TcpProxy()];
-    try {
-      const storeAddress = `127.0.0.1:${await store.listen()}`;
-      store.put(configuration(1, [KEY]));
-      const daemons = await Promise.all(
-        storePaths.map(async (path, index) => {
-          const advertised = await peerPaths[index]!.listen();
-          const [, port] = (await path.listen()).split(':');
-          // The settings are written in the same turn, as the fleet holds one address of the store.
-          fleet.useLog(Number(port));
-          path.forwardTo(storeAddress);
-          const daemon = await fleet.startDaemon({
-            name: `coq-${index}`,
-            zone: 'coq',
-            extra: {
-              ...SHORT_PERIODS,
-              daemon: `${SHORT_PERIODS.daemon}\nadvertise = "${advertised}"`,
-              log: 'kind = "platform"\nreader_zones = 1\nreaders_per_zone = 1',
-              organisations: `revocation = "${BOUND_MS}ms"`,
-            },
-          });
-          peerPaths[index]!.forwardTo(daemon.ready.listening.peers);
-          return daemon;
-        }),
-      );
-      const [cutOff, other] = daemons as [DaemonProcess, DaemonProcess];
-      await waitUntilInForce(1, daemons);
-      await waitUntilAllAlive(daemons);
-      for (const daemon of daemons) {
-        await eventually(
-          'the key is accepted',
-          async () => (await callOutcome(daemon, 0, KEY)) === 'accepted',
-        );
-        assert.is(await callOutcome(daemon, 0, 'another'), '401');
-        assert.is(await callOutcome(daemon, 0), '401');
-      }
+/** Two daemons whose ways to the store and to each other can be cut. */
+interface Mesh {
+  readonly store: PlatformStoreServer;
+  readonly daemons: readonly [DaemonProcess, DaemonProcess];
+  readonly storePaths: readonly TcpProxy[];
+  readonly peerPaths: readonly TcpProxy[];
+}
 
-      storePaths[0]!.cut();
-      for (const path of peerPaths) path.cut();
-      store.put(configuration(2, []));
-      const acknowledgedAt = Date.now();
-      const outcomes: string[] = [];
-      let acceptedAfterMs = 0;
-      while (Date.now() < acknowledgedAt + BOUND_MS + 1_000) {
-        const sentAfterMs = Date.now() - acknowledgedAt;
-        const outcome = await callOutcome(cutOff, 0, KEY);
-        if (outcome === 'accepted') acceptedAfterMs = sentAfterMs;
-        if (outcome !== outcomes.at(-1)) outcomes.push(outcome);
-        await delay(20);
-      }
-      assert.equal(outcomes, ['accepted', 'not confirmed']);
-      assert.ok(acceptedAfterMs <= BOUND_MS, `${acceptedAfterMs}`);
-      assert.is(await callOutcome(cutOff, 0, 'another'), 'not confirmed');
-      assert.is(await callOutcome(cutOff, 1), 'accepted');
-      assert.is(await callOutcome(other, 0, KEY), '401');
-      const answer = await fetch(`http://${cutOff.ready.listening.control}/dump`);
-      const dump = await answer.text();
-      assert.match(dump, 'refuses keys');
-      assert.not.match(dump, KEY);
-    } finally {
-      await fleet.dispose();
-      for (const path of [...storePaths, ...peerPaths]) path.dispose();
-      store.dispose();
+/** Runs a test on daemons that accept the key. */
+async function withMesh(run: (mesh: Mesh) => Promise<void>): Promise<void> {
+  const fleet = new Fleet();
+  const store = new PlatformStoreServer();
+  const storePaths = [new TcpProxy(), new TcpProxy()];
+  const peerPaths = [new TcpProxy(), new TcpProxy()];
+  try {
+    const storeAddress = `127.0.0.1:${await store.listen()}`;
+    store.put(configuration(1, [KEY]));
+    const daemons = await Promise.all(
+      storePaths.map(async (path, index) => {
+        const advertised = await peerPaths[index]!.listen();
+        const [, port] = (await path.listen()).split(':');
+        // The settings are written in the same turn, as the fleet holds one address of the store.
+        fleet.useLog(Number(port));
+        path.forwardTo(storeAddress);
+        const daemon = await fleet.startDaemon({
+          name: `coq-${index}`,
+          zone: 'coq',
+          extra: {
+            ...SHORT_PERIODS,
+            daemon: `${SHORT_PERIODS.daemon}\nadvertise = "${advertised}"`,
+            log: 'kind = "platform"\nreader_zones = 1\nreaders_per_zone = 1',
+            organisations: `revocation = "${BOUND_MS}ms"`,
+          },
+        });
+        peerPaths[index]!.forwardTo(daemon.ready.listening.peers);
+        return daemon;
+      }),
+    );
+    await waitUntilInForce(1, daemons);
+    await waitUntilAllAlive(daemons);
+    for (const daemon of daemons) {
+      await eventually(
+        'the key is accepted',
+        async () => (await callOutcome(daemon, 0, KEY)) === 'accepted',
+      );
     }
-  },
+    const [first, second] = daemons as [DaemonProcess, DaemonProcess];
+    await run({ store, daemons: [first, second], storePaths, peerPaths });
+  } finally {
+    await fleet.dispose();
+    for (const path of [...storePaths, ...peerPaths]) path.dispose();
+    store.dispose();
+  }
+}
+
+/** Calls with the key for a time; returns the outcomes as they change, and when the last was accepted. */
+async function callFor(ms: number, daemon: DaemonProcess) {
+  const startedAt = Date.now();
+  const outcomes: string[] = [];
+  let acceptedAfterMs = 0;
+  while (Date.now() < startedAt + ms) {
+    const sentAfterMs = Date.now() - startedAt;
+    const outcome = await callOutcome(daemon, 0, KEY);
+    if (outcome === 'accepted') acceptedAfterMs = sentAfterMs;
+    if (outcome !== outcomes.at(-1)) outcomes.push(outcome);
+    await delay(20);
+  }
+  return { outcomes, acceptedAfterMs };
+}
+
+// Guards against a daemon that is cut off and goes on accepting a key that was removed.
+scenario('a daemon that is cut off refuses keys after the bound and serves public routes', () =>
+  withMesh(async ({ store, daemons: [cutOff, other], storePaths, peerPaths }) => {
+    assert.is(await callOutcome(cutOff, 0, 'another'), '401');
+    assert.is(await callOutcome(cutOff, 0), '401');
+    // Without the store, its proofs come from the other daemon.
+    storePaths[0]!.cut();
+    assert.equal((await callFor(BOUND_MS + 500, cutOff)).outcomes, ['accepted']);
+
+    for (const path of peerPaths) path.cut();
+    store.put(configuration(2, []));
+    const { outcomes, acceptedAfterMs } = await callFor(BOUND_MS + 1_000, cutOff);
+    assert.equal(outcomes, ['accepted', 'not confirmed']);
+    assert.ok(acceptedAfterMs <= BOUND_MS, `${acceptedAfterMs}`);
+    assert.is(await callOutcome(cutOff, 0, 'another'), 'not confirmed');
+    assert.is(await callOutcome(cutOff, 1), 'accepted');
+    assert.is(await callOutcome(other, 0, KEY), '401');
+    const answer = await fetch(`http://${cutOff.ready.listening.control}/dump`);
+    const dump = await answer.text();
+    assert.match(dump, 'refuses keys');
+    assert.not.match(dump, KEY);
+  }),
+);
+
+// Guards against a daemon that takes what it had read before a freeze for recent.
+scenario('a daemon that was frozen beyond the bound never accepts a removed key', () =>
+  withMesh(async ({ store, daemons: [frozen] }) => {
+    frozen.child.kill('SIGSTOP');
+    store.put(configuration(2, []));
+    await delay(BOUND_MS);
+    const calling = callFor(1_500, frozen);
+    frozen.child.kill('SIGCONT');
+    const { outcomes } = await calling;
+    assert.not.ok(outcomes.includes('accepted'), `${outcomes}`);
+    assert.is(outcomes.at(-1), '401');
+  }),
 );
 
 test.run();
