Add mutants for revoked keys, and test the offset behind a refused version

Cause: nothing showed that the process tests fail without the proof, nor that the offset for peers stays before a refused version.

--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -93,6 +93,30 @@
     test: 'test/callFaults.test.ts',
     scenario: 'rolling restart',
   },
+  {
+    name: 'keys are accepted whatever the age of the proof, by a daemon that is cut off',
+    file: 'src/request/Authenticator.ts',
+    from: 'if (!proof || proof.isFresh) {',
+    to: 'if (!proof || proof) {',
+    test: 'test/revokedKeys.test.ts',
+    scenario: 'a daemon that is cut off',
+  },
+  {
+    name: 'keys are accepted whatever the age of the proof, by a daemon that was frozen',
+    file: 'src/request/Authenticator.ts',
+    from: 'if (!proof || proof.isFresh) {',
+    to: 'if (!proof || proof) {',
+    test: 'test/revokedKeys.test.ts',
+    scenario: 'a daemon that was frozen',
+  },
+  {
+    name: 'replies to heartbeats carry no proof',
+    file: 'src/connection/peerRouter.ts',
+    from: 'proof: proof.current }',
+    to: 'proof: null }',
+    test: 'test/revokedKeys.test.ts',
+    scenario: 'a daemon that is cut off',
+  },
 ];
 
 const outputFolder = 'dist-mutant';
--- a/src/connection/PeerHeadTracker.test.ts
+++ b/src/connection/PeerHeadTracker.test.ts
@@ -111,6 +111,17 @@
   );
 });
 
+// Guards against peers that skip a refused version and then take the one in force for the newest.
+test('the offset that peers continue from does not move past a refused version', async () => {
+  const { tracker } = createTracker();
+  await tracker.applyLogHead(head(3, 1), 4 as Offset, true);
+  await tracker.applyLogHead(head(9, -1), 10 as Offset, true);
+  await tracker.applyLogHead(undefined, 12 as Offset, true);
+  assert.equal([tracker.offer, tracker.knowledge.through], [{ version: 3, through: 4 }, 4]);
+  await tracker.applyLogHead(head(13, 2), 14 as Offset, true);
+  assert.equal(tracker.offer, { version: 13, through: 14 });
+});
+
 test('a version is offered to peers before it is validated, and no longer once it is refused', async () => {
   const { tracker } = createTracker();
   await tracker.applyLogHead(head(2, 1), 3 as Offset, true);
