Leave modules that are never used out of the bundle

Cause: libraries load modules at a start that nothing here uses. The HTTP client loads HTTP/2, and with it Node's module (16 ms, 1.8 MB); ws loads TLS; prom-client loads trace contexts, a push gateway and the collection over cluster workers; pino loads its threads.

Change: scripts/bundle.mjs replaces them by empty modules.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -28,6 +28,44 @@
   },
 };
 
+/**
+ * Modules that libraries load but azurestream never uses, and what stands for them:
+ *
+ * - HTTP/2 of the HTTP client, which would load Node's module too; clients don't offer it.
+ * - Trace contexts of prom-client, which it reads for exemplars only.
+ * - Its push gateway and its collection over cluster workers.
+ * - The threads in which pino runs transports; lines go to standard output.
+ */
+const UNUSED_MODULES = {
+  'undici/lib/dispatcher/client-h2.js':
+    "module.exports = () => { throw new Error('HTTP/2 is not bundled'); };",
+  '@opentelemetry/api/build/esm/index.js': 'export {};',
+  '@opentelemetry/api/dist/index.cjs': 'module.exports = {};',
+  'thread-stream/index.js': 'module.exports = {};',
+  'prom-client/lib/pushgateway.js': 'module.exports = {};',
+  'prom-client/lib/cluster.js': 'module.exports = {};',
+};
+
+/** Replaces modules that aren't used. */
+const unusedPlugin = {
+  name: 'unused',
+  setup(bundler) {
+    const names = Object.keys(UNUSED_MODULES);
+    const filter = new RegExp(`/(?:${names.join('|').replaceAll('.', '\\.')})$`);
+    bundler.onLoad({ filter }, ({ path }) => {
+      const name = names.find((end) => path.endsWith(end));
+      return { contents: UNUSED_MODULES[name] };
+    });
+    // Daemons connect to each other without TLS; Node's own modules load it only for this library.
+    bundler.onResolve({ filter: /^(?:https|tls)$/ }, ({ path, importer }) =>
+      importer.endsWith('/ws/lib/websocket.js') ? { path, namespace: 'unused' } : undefined,
+    );
+    bundler.onLoad({ filter: /./, namespace: 'unused' }, () => ({
+      contents: 'module.exports = {};',
+    }));
+  },
+};
+
 /**
  * Bundles the command line, the daemon alone and the stand-ins, one CommonJS file each.
  *
@@ -59,6 +97,10 @@
     banner: {
       js: "const importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;",
     },
-    plugins: [undiciPlugin, ...[mutant, mutant?.also].filter(Boolean).map(mutationPlugin)],
+    plugins: [
+      undiciPlugin,
+      unusedPlugin,
+      ...[mutant, mutant?.also].filter(Boolean).map(mutationPlugin),
+    ],
   });
 }
