Share slots max-min fairly among organisations

Cause: in a full queue and at the throttle of a route, an organisation that sends many times its usual rate took slots from all others alike.

Change: within a priority the queue of an upstream serves the organisation first that got less slot time lately; the throttle rejects the calls of organisations above the max-min share of what is offered, in place of all calls at random. Calls without an organisation are ordered and rejected as before.

--- a/src/request/AdmissionController.ts
+++ b/src/request/AdmissionController.ts
@@ -1,6 +1,7 @@
-import type { Clock, RouteName } from '../common/Types';
+import type { Clock, OrganisationName, RouteName } from '../common/Types';
 import type { Priority, Service } from '../version/Types';
 import NotRunError from './NotRunError';
+import OrganisationUse from './OrganisationUse';
 import ServedShares from './ServedShares';
 import ServiceTimes from './ServiceTimes';
 import type { CancelSignal } from './Types';
@@ -67,6 +68,8 @@
 export interface AdmissionRequest {
   readonly route: RouteName;
   readonly priority: Priority;
+  /** Organisation of the caller; `undefined` if it has none. */
+  readonly organisation?: OrganisationName | undefined;
   /** Time after which the caller no longer wants a response. */
   readonly deadline: number;
   /** End of the latency objective: a response until then is as useful as an immediate one. */
@@ -111,8 +114,10 @@
  * 1. Short calls, as calls at other upstreams wait for them.
  * 2. Calls that can still meet their objective.
  * 3. Calls of a higher priority.
- * 4. Calls of the route of which a smaller share was served.
- * 5. Calls with the earlier objective.
+ * 4. Calls of the organisation that got less slot time lately; only between calls of two organisations, so that
+ *    one that sends many times its usual rate doesn't crowd out the others.
+ * 5. Calls of the route of which a smaller share was served.
+ * 6. Calls with the earlier objective.
  *
  * A call that can't meet its objective is queued only if its predicted wait is short. A call that
  * would miss its deadline is refused on arrival, or as soon as later arrivals with precedence make
@@ -129,6 +134,8 @@
 
   private readonly servedShares = new ServedShares();
 
+  private readonly organisationUse = new OrganisationUse();
+
   private readonly runningCalls = new Set<RunningCall>();
 
   private queue: QueuedCall[] = [];
@@ -256,6 +263,8 @@
       expectedMs > 0 ? Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs) : Infinity;
     const running: RunningCall = { startedAt, overdueAt: startedAt + overdueMs };
     this.runningCalls.add(running);
+    const { organisation } = request;
+    if (organisation) this.organisationUse.add(organisation, expectedMs, startedAt);
     this.servedShares.record(request.route, true);
     return (used = true) => {
       if (!this.runningCalls.delete(running)) return;
@@ -292,11 +301,21 @@
     const bMeetsObjective = AdmissionController.meetsObjective(b, now);
     if (aMeetsObjective !== bMeetsObjective) return aMeetsObjective;
     if (a.request.priority !== b.request.priority) return a.request.priority < b.request.priority;
+    const useDifference = this.useDifference(a, b, now);
+    if (useDifference !== 0) return useDifference < 0;
     const shareDifference = this.servedShareStep(a) - this.servedShareStep(b);
     if (shareDifference !== 0) return shareDifference < 0;
     return a.request.objective < b.request.objective;
   }
 
+  /** Difference of the slot time that the organisations of two calls got; 0 if it doesn't apply. */
+  private useDifference(a: Candidate, b: Candidate, now: number): number {
+    const first = a.request.organisation;
+    const second = b.request.organisation;
+    if (!first || !second || first === second) return 0;
+    return this.organisationUse.read(first, now) - this.organisationUse.read(second, now);
+  }
+
   private isShort({ durationMs }: Candidate): boolean {
     return durationMs <= SHORT_CALL_FRACTION * this.serviceTimes.meanMs;
   }
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -170,7 +170,7 @@
    */
   public async run(signal: CancelSignal): Promise<Answer> {
     if (signal.aborted) throw new NotRunError('the call was given up before it was begun');
-    if (this.throttle.shouldReject()) {
+    if (this.throttle.shouldReject(this.policy.organisation?.name)) {
       const { retryAfterMs } = this.throttle;
       throw new NotRunError('most calls of the route are refused for lack of slots', {
         ...(retryAfterMs !== undefined && { retryAfterMs }),
