--- a/stand-in/QuotaFleet.ts
+++ b/stand-in/QuotaFleet.ts
@@ -3,7 +3,7 @@
 import QuotaClient, { type QuotaEvent } from '../src/request/QuotaClient';
 import QuotaError from '../src/request/QuotaError';
 import { rankOwners } from '../src/request/quotaPools';
-import type { QuotaRequest, QuotaTolerance } from '../src/request/Types';
+import type { QuotaReply, QuotaRequest, QuotaTolerance } from '../src/request/Types';
 import type { Organisation, Quota } from '../src/version/Types';
 import ManualClock from './ManualClock';
 
@@ -79,6 +79,12 @@
 
   public messages = 0;
 
+  /** Quotas of organisations that have another than `quota`. */
+  public readonly quotas = new Map<string, Quota>();
+
+  /** Called for each exchange between two daemons. */
+  public onExchange: ((request: QuotaRequest, reply: QuotaReply) => void) | undefined;
+
   public readonly network: QuotaNetwork = { ...PERFECT_NETWORK };
 
   private deliveries: Delivery[] = [];
@@ -196,6 +202,7 @@
     const receive = () => {
       if (target.isDown) return;
       const reply = this.poolOf(target, request.pool).handle(request);
+      if (owner !== request.from) this.onExchange?.(request, reply);
       if (owner === request.from) client.receive(request, reply);
       else if (!this.isLost(owner, request.from)) {
         this.after(this.delay(), () => {
@@ -237,7 +244,7 @@
       new CreditPool({
         clock: this.clock,
         session: daemon.session,
-        quotaOf: () => this.quota,
+        quotaOf: (name) => this.quotas.get(name) ?? this.quota,
         tolerance: () => this.tolerance,
         known: () => this.knownSince(daemon.startedAt),
       });
