Judge upstreams by how much a load report can tell at its age

Cause: at 60 daemons each hears from an upstream less than once a second. A report faded within 2 s to no load, so that upstreams that weren't heard of looked idle, and the fastest ones got the calls of all daemons at once.

Change: a reported number of calls fades within 0.4 s to the typical load of the service's upstreams, its deviation grows with its age, and the calls that queue are the expected excess over the slots. What a queued call costs others outweighs differences of speed. An upstream that holds calls and answers none counts as slow.

--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -1,11 +1,11 @@
-import type { Clock, Disposable, InstanceId, Logger } from '../common/Types';
+import type { Clock, Disposable, InstanceId, Logger, ServiceName } from '../common/Types';
 import type MemberTable from '../connection/MemberTable';
 import type { UpstreamState, Withdrawal } from '../connection/Types';
 import type { UpstreamLimits } from '../request/AdmissionController';
 import type AttemptRegistry from '../request/AttemptRegistry';
 import LocalUpstream from '../request/LocalUpstream';
 import type { LocalService } from '../request/PeerCallHandler';
-import type { HeaderNames } from '../request/Types';
+import type { HeaderNames, RelayedReport } from '../request/Types';
 import UpstreamConnections from '../request/UpstreamConnections';
 import type { CurrentVersion, Service } from '../version/Types';
 import DepartedInstances from './DepartedInstances';
@@ -49,6 +49,8 @@
 /** The components of the daemon that the registration depends on. */
 export interface RegistrationServices {
   /** Advertises the upstream to other daemons. */
+  /** Returns a report on an upstream of a service, to be passed on to other daemons. */
+  readonly relay?: (service: ServiceName) => RelayedReport | undefined;
   readonly members: MemberTable;
   /** Tells when the acknowledgements of an earlier process of this daemon are known. */
   readonly recall: StartupRecall;
@@ -402,6 +404,7 @@
       logger,
       onUnreachable: () => this.markUnreachable(registered.announcement.instance),
       zoneOf: (daemon) => this.services.members.get(daemon)?.zone,
+      relay: () => this.services.relay?.(registered.announcement.service),
     });
   }
 
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -320,24 +320,6 @@
 ) {
   const { settings, resources, clock, random, names, lag, logger } = core;
   const attempts = new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock);
-  const registration = resources.add(
-    new UpstreamRegistration({
-      members,
-      recall,
-      keeper: new WithdrawalKeeper(overlay, source.withdrawals, logger('upstream')),
-      versions,
-      attempts,
-      names,
-      lagMs: () => lag.currentMs,
-      waitedMs: () => lag.maxReadDelayMs,
-      leaseMs: settings.upstream.lease,
-      clock,
-      timeOfDay: () => Date.now(),
-      processStartedAt: Date.now() - performance.now(),
-      logger: logger('upstream'),
-    }),
-  );
-  source.withdrawals?.onRecall((withdrawals) => registration.recall(withdrawals));
   const { calls } = settings;
   const channels = resources.add(
     new CallChannels(settings.daemon.name, calls.connect, clock, logger('peer')),
@@ -368,6 +350,25 @@
     logger('zones'),
   );
   const balancer = new ForecastBalancer(members, liveness, zone, overflow, clock, random);
+  const registration = resources.add(
+    new UpstreamRegistration({
+      members,
+      relay: (service) => balancer.relay(service),
+      recall,
+      keeper: new WithdrawalKeeper(overlay, source.withdrawals, logger('upstream')),
+      versions,
+      attempts,
+      names,
+      lagMs: () => lag.currentMs,
+      waitedMs: () => lag.maxReadDelayMs,
+      leaseMs: settings.upstream.lease,
+      clock,
+      timeOfDay: () => Date.now(),
+      processStartedAt: Date.now() - performance.now(),
+      logger: logger('upstream'),
+    }),
+  );
+  source.withdrawals?.onRecall((withdrawals) => registration.recall(withdrawals));
   const sweepTimer = setInterval(() => {
     balancer.forgetUnused();
     channels.closeIdle();
--- a/src/request/ForecastBalancer.ts
+++ b/src/request/ForecastBalancer.ts
@@ -1,9 +1,11 @@
 import type { Clock, DaemonId, Random, RouteName, ServiceName, ZoneName } from '../common/Types';
+import daemonKey from './daemonKey';
 import UpstreamStatistics from './UpstreamStatistics';
 import type ZoneOverflow from './ZoneOverflow';
 import type {
   AttemptResult,
   Balancer,
+  RelayedReport,
   ReportedLoad,
   Liveness,
   PlacementCriteria,
@@ -37,10 +39,16 @@
  * it: where the upstreams of a zone fail a sixth of their calls or make them late.
  */
 const EXCEPTION_MARGIN = 0.25;
-/** Utilisation of an upstream's slots, 0 to 1, above which a further call delays others. */
-const CONGESTION_THRESHOLD = 0.75;
-/** Cost of the delay that one more call causes to others at an upstream with all slots in use. */
-const CONGESTION_COST = 0.4;
+/**
+ * Cost of the delay that a call causes to others, for each call that is expected to queue at the
+ * upstream, as a ratio of its slots. Below 1, daemons crowd on the fastest upstreams at 80 % use.
+ */
+const CONGESTION_COST = 2;
+/**
+ * Cost of waiting for the average latency of the route. It only decides between upstreams that are
+ * otherwise equal: a higher cost makes daemons crowd on the fastest upstreams.
+ */
+const TIME_COST = 0.02;
 /**
  * Cost of choosing an upstream where the call is certain to fail; above 1, as a retry also draws on
  * the shared retry budget.
@@ -51,10 +59,34 @@
  * information don't all choose the same one.
  */
 const MAX_NOISE = 0.02;
-/** Age up to which a load report counts in full, in milliseconds. */
-const LOAD_FRESH_MS = 250;
-/** Age from which a load report no longer counts, in milliseconds. */
-const LOAD_STALE_MS = 2_000;
+/** Age up to which reported failures and lag count in full, in milliseconds. */
+const REPORT_FRESH_MS = 250;
+/** Age from which reported failures and lag no longer count, in milliseconds. */
+const REPORT_STALE_MS = 2_000;
+/**
+ * Age from which a reported number of calls no longer counts, in milliseconds: an upstream of 4 slots
+ * starts and ends about ten calls in that time.
+ */
+const LOAD_STALE_MS = 400;
+/** Standard deviation of the number of calls at an upstream from its report while that is new. */
+const MIN_LOAD_DEVIATION = 1;
+/** The same for an upstream whose load is only known from that of the others. */
+const MAX_LOAD_DEVIATION = 4;
+/** Age at which the deviation reaches its maximum, in milliseconds. */
+const MAX_DEVIATION_AGE_MS = 600;
+/** Weight of the newest report in the moving average of the utilisation of a service's upstreams. */
+const UTILISATION_WEIGHT = 0.02;
+/** Steepness with which `softExcess` approximates the loss function of a normal distribution. */
+const EXCESS_STEEPNESS = 1.6;
+/** Number of deviations beyond which `softExcess` is exact within a thousandth. */
+const MAX_DEVIATIONS = 4;
+/** Latency as a ratio of the objective below which less than a thousandth of the responses is late. */
+const MIN_LATE_RATIO = 0.2;
+/**
+ * Factor on the expected duration after which an upstream that has calls of this daemon, and answered
+ * none since, counts as slow.
+ */
+const SILENCE_FACTOR = 2;
 /** Factor on the expected duration at an upstream that started recently and has no measurements. */
 const COLD_START_DURATION_FACTOR = 2;
 /** Time after the start of an upstream during which it counts as cold, in milliseconds. */
@@ -70,6 +102,15 @@
 const FORGET_AFTER_MS = 600_000;
 /** Number of distinct values of the random cost that is added to each candidate upstream. */
 const NOISE_STEPS = 1_000;
+/**
+ * Number of responses of which one passes on a report: 16 responses a second with load and reports
+ * then carry less than 0.5 kB more.
+ */
+const RESPONSES_PER_RELAY = 3;
+/** Age in milliseconds up to which a report is passed on. */
+const MAX_RELAYED_AGE_MS = 3_000;
+/** Upstreams that are looked at for a report to pass on. */
+const MAX_RELAY_TRIES = 4;
 /** Minimum number of responses before the moving average of a route's latency is used. */
 const MIN_RESPONSES = 20;
 
@@ -79,27 +120,48 @@
   count: number;
 }
 
-/** What a call may expect at an upstream; times are in milliseconds. */
+/** What is the same for all candidates of a choice. */
+interface Conditions {
+  readonly placement: PlacementCriteria;
+  /** Monotonic time in ms. */
+  readonly now: number;
+  /** Calls at the service's upstreams, as a ratio of their slots, by recent reports. */
+  readonly typicalUtilisation: number;
+  /** Average latency of the route, in milliseconds. */
+  readonly typicalMs: number;
+  /** Cost of a millisecond; 0 while the route's latency isn't known. */
+  readonly costPerMs: number;
+}
+
+/** What a call may expect at an upstream. */
 interface Forecast {
   /** Cost that the call is late or fails. */
-  harm: number;
-  /** Wait for a slot. */
-  waitMs: number;
-  /** Time until the response, including the cost of leaving the zone. */
-  expectedMs: number;
-  /** Calls at the upstream, as a ratio of its slots. */
-  utilisation: number;
+  readonly harm: number;
+  /** Expected number of calls that queue there, as a ratio of the slots. */
+  readonly queued: number;
+  /** Whether all slots are expected to be in use. */
+  readonly isFull: boolean;
+  /** Expected time until the response, including the cost of leaving the zone, in milliseconds. */
+  readonly expectedMs: number;
 }
 
 /** Modelled share of late responses for a given ratio of expected time to latency objective. */
 function lateShare(ratio: number): number {
-  if (ratio <= 0) return 0;
+  if (ratio < MIN_LATE_RATIO) return 0;
   return 1 / (1 + ratio ** -LATE_STEEPNESS);
 }
 
-/** Weight of a load report: 1 while it is fresh, falling linearly to 0 when it is stale. */
+/** Expected excess above 0 of a normally distributed number with a mean and a standard deviation. */
+function softExcess(mean: number, deviation: number): number {
+  const deviations = mean / deviation;
+  if (deviations > MAX_DEVIATIONS) return mean;
+  if (deviations < -MAX_DEVIATIONS) return 0;
+  return (deviation * Math.log1p(Math.exp(EXCESS_STEEPNESS * deviations))) / EXCESS_STEEPNESS;
+}
+
+/** Weight of reported failures and lag: 1 while they are fresh, falling linearly to 0. */
 function reportWeight(ageMs: number): number {
-  const decay = (ageMs - LOAD_FRESH_MS) / (LOAD_STALE_MS - LOAD_FRESH_MS);
+  const decay = (ageMs - REPORT_FRESH_MS) / (REPORT_STALE_MS - REPORT_FRESH_MS);
   return 1 - Math.min(1, Math.max(0, decay));
 }
 
@@ -117,6 +179,14 @@
 export default class ForecastBalancer implements Balancer {
   private readonly statistics = new Map<DaemonId, UpstreamStatistics>();
 
+  private readonly utilisations = new Map<ServiceName, number>();
+
+  /** Number of responses with which a report could be passed on. */
+  private relayCalls = 0;
+
+  /** Index of the upstream on which a report was last passed on. */
+  private relayTurn = 0;
+
   private readonly latencies = new Map<string, RouteLatency>();
 
   public constructor(
@@ -131,7 +201,16 @@
   public choose(placement: PlacementCriteria): Upstream | undefined {
     const now = this.clock.now();
     const pool = this.eligible(this.directory.upstreams(placement.service), placement.exclude, now);
-    const bytesMs = this.overflow.bytesCostMs(placement.service, placement.route);
+    const { service, route } = placement;
+    const bytesMs = this.overflow.bytesCostMs(service, route);
+    const latencyMs = this.latencyMs(service, route);
+    const conditions: Conditions = {
+      placement,
+      now,
+      typicalUtilisation: this.utilisations.get(service) ?? 0,
+      typicalMs: latencyMs ?? INITIAL_LATENCY_MS,
+      costPerMs: latencyMs ? TIME_COST / latencyMs : 0,
+    };
     let home: Upstream | undefined;
     let homeCost = Infinity;
     let away: Upstream | undefined;
@@ -139,14 +218,14 @@
     for (const candidate of pool) {
       const noise = (MAX_NOISE * this.random.below(NOISE_STEPS)) / NOISE_STEPS;
       if (candidate.zone === this.zone) {
-        const cost = this.cost(candidate, placement, 0, now) + noise;
+        const cost = this.cost(candidate, conditions, 0) + noise;
         if (cost < homeCost) {
           home = candidate;
           homeCost = cost;
         }
       } else {
         const leaveMs = bytesMs + this.overflow.roundTripMs(candidate.zone);
-        const cost = this.cost(candidate, placement, leaveMs, now) + noise;
+        const cost = this.cost(candidate, conditions, leaveMs) + noise;
         if (cost < awayCost) {
           away = candidate;
           awayCost = cost;
@@ -158,13 +237,16 @@
     const leaves =
       placement.exclude.size > 0
         ? undefined
-        : this.overflow.leaves(placement.service, placement.route, pool, (daemon) =>
-            this.statistics.get(daemon),
+        : this.overflow.leaves(
+            service,
+            route,
+            pool,
+            (daemon) => this.statistics.get(daemon)?.knownLoad,
           );
     if (leaves === undefined) return homeCost <= awayCost + LEAVE_MARGIN ? home : away;
     const leaveMs = bytesMs + this.overflow.roundTripMs(away.zone);
-    const atHome = this.forecast(home, placement, 0, now);
-    const abroad = this.forecast(away, placement, leaveMs, now);
+    const atHome = this.forecast(home, conditions, 0);
+    const abroad = this.forecast(away, conditions, leaveMs);
     if (leaves) return ForecastBalancer.isException(atHome, abroad) ? home : away;
     return ForecastBalancer.isException(abroad, atHome) ? away : home;
   }
@@ -175,6 +257,7 @@
 
   public begin({ daemon }: Upstream): void {
     const stats = this.stats(daemon);
+    if (stats.inFlight === 0) stats.silentSince = this.clock.now();
     stats.inFlight += 1;
     stats.startedSinceReport += 1;
     stats.lastUsed = this.clock.now();
@@ -184,13 +267,20 @@
     const stats = this.stats(daemon);
     const now = this.clock.now();
     stats.inFlight -= 1;
+    stats.silentSince = now;
     if (result.kind === 'answered') {
       stats.recordSuccess(route, result.latencyMs, now);
       this.recordLatency(service, route, result.latencyMs);
     }
     if (result.kind === 'failed') stats.recordFailure(now);
     if (result.kind !== 'answered' && result.kind !== 'refused') return;
-    if (result.load) stats.recordLoad(route, result.load, now);
+    if (!result.load) return;
+    stats.recordLoad(route, result.load, now);
+    const { running, waiting, slots, relayed } = result.load;
+    if (relayed) this.learn(service, relayed, now);
+    const known = this.utilisations.get(service) ?? 0;
+    const change = UTILISATION_WEIGHT * ((running + waiting) / slots - known);
+    this.utilisations.set(service, known + change);
   }
 
   public latencyMs(service: ServiceName, route: RouteName): number | undefined {
@@ -204,6 +294,43 @@
     return { load: stats.load, ageMs: this.clock.now() - stats.loadAt };
   }
 
+  /**
+   * Returns a report on an upstream to be passed on with a response, each time on another upstream.
+   *
+   * @param service - Name of the service.
+   * @returns A recent report; `undefined` if none is due.
+   */
+  public relay(service: ServiceName): RelayedReport | undefined {
+    this.relayCalls += 1;
+    if (this.relayCalls % RESPONSES_PER_RELAY !== 0) return undefined;
+    const upstreams = this.directory.upstreams(service);
+    const now = this.clock.now();
+    for (let tries = 0; tries < Math.min(MAX_RELAY_TRIES, upstreams.length); tries += 1) {
+      this.relayTurn = (this.relayTurn + 1) % upstreams.length;
+      const { daemon } = upstreams[this.relayTurn]!;
+      const known = this.statistics.get(daemon)?.knownLoad;
+      if (known?.load.arrivals && known.load.meanMs !== undefined) {
+        const { slots, waiting, meanMs, arrivals } = known.load;
+        const ageMs = now - known.loadAt;
+        if (ageMs < MAX_RELAYED_AGE_MS) {
+          return { key: daemonKey(daemon), ageMs, slots, waiting, meanMs, arrivals };
+        }
+      }
+    }
+    return undefined;
+  }
+
+  /** Stores a report that another daemon passed on, unless a newer one is known. */
+  private learn(service: ServiceName, report: RelayedReport, now: number): void {
+    const upstream = this.directory
+      .upstreams(service)
+      .find(({ daemon }) => daemonKey(daemon) === report.key);
+    if (!upstream) return;
+    const stats = this.stats(upstream.daemon);
+    const at = now - report.ageMs;
+    if (at > (stats.relayed?.at ?? -Infinity)) stats.relayed = { report, at };
+  }
+
   /** Drops the statistics of upstreams without recent calls. */
   public forgetUnused(): void {
     const oldest = this.clock.now() - FORGET_AFTER_MS;
@@ -252,34 +379,28 @@
   }
 
   /** Cost of sending a call to an upstream: the harm to the call itself and to others. */
-  private cost(
-    upstream: Upstream,
-    placement: PlacementCriteria,
-    leaveMs: number,
-    now: number,
-  ): number {
-    const { harm, utilisation } = this.forecast(upstream, placement, leaveMs, now);
-    const congestion = Math.max(0, utilisation - CONGESTION_THRESHOLD) / (1 - CONGESTION_THRESHOLD);
-    return harm + CONGESTION_COST * congestion;
+  private cost(upstream: Upstream, conditions: Conditions, leaveMs: number): number {
+    const { harm, queued, expectedMs } = this.forecast(upstream, conditions, leaveMs);
+    return harm + CONGESTION_COST * queued + conditions.costPerMs * expectedMs;
   }
 
   /** Times that a call is expected to take at an upstream, and the harm to it alone. */
-  private forecast(
-    upstream: Upstream,
-    placement: PlacementCriteria,
-    leaveMs: number,
-    now: number,
-  ): Forecast {
+  private forecast(upstream: Upstream, conditions: Conditions, leaveMs: number): Forecast {
+    const { placement, now, typicalUtilisation } = conditions;
     const stats = this.statistics.get(upstream.daemon);
     const slots = stats?.load?.slots ?? upstream.slots ?? placement.slots;
-    const expectedLoad = this.expectedLoad(stats, now);
-    const durationMs = this.durationMs(upstream, stats, placement, now);
-    const waitMs = expectedLoad < slots ? 0 : ((expectedLoad - slots + 1) * durationMs) / slots;
-    const expectedMs = waitMs + durationMs + leaveMs + this.lagMs(stats, now);
+    const ageMs = stats?.load ? now - stats.loadAt : Infinity;
+    const expectedLoad = ForecastBalancer.expectedLoad(stats, typicalUtilisation * slots, ageMs);
+    const deviation =
+      MIN_LOAD_DEVIATION +
+      (MAX_LOAD_DEVIATION - MIN_LOAD_DEVIATION) * Math.min(1, ageMs / MAX_DEVIATION_AGE_MS);
+    const queued = softExcess(expectedLoad + 1 - slots, deviation) / slots;
+    const durationMs = ForecastBalancer.durationMs(upstream, stats, conditions);
+    const expectedMs = (1 + queued) * durationMs + leaveMs + this.lagMs(stats, now);
     const ratio = expectedMs / Math.max(1, placement.objectiveMs);
     const harm =
       LATE_COST * lateShare(ratio) + FAILURE_COST * this.failureShare(upstream, stats, now);
-    return { harm, waitMs, expectedMs, utilisation: expectedLoad / slots };
+    return { harm, queued, isFull: expectedLoad >= slots, expectedMs };
   }
 
   /**
@@ -289,7 +410,7 @@
    */
   private static isException(chosen: Forecast, other: Forecast): boolean {
     if (other.harm - chosen.harm > EXCEPTION_MARGIN) return true;
-    return other.waitMs > 0 && other.expectedMs > chosen.expectedMs;
+    return other.isFull && other.expectedMs > chosen.expectedMs;
   }
 
   /** Event loop lag that the upstream's daemon reported, in ms, weighted by the report's age. */
@@ -298,30 +419,36 @@
     return stats.load.lagMs * reportWeight(now - stats.loadAt);
   }
 
-  private durationMs(
+  /** Expected duration of a call; longer at an upstream that holds calls and answers none. */
+  private static durationMs(
     upstream: Upstream,
     stats: UpstreamStatistics | undefined,
-    { service, route }: PlacementCriteria,
-    now: number,
+    { placement, now, typicalMs }: Conditions,
   ): number {
-    const measured = stats?.durationMs(route);
-    if (measured !== undefined) return measured;
-    const typicalMs = this.latencyMs(service, route) ?? INITIAL_LATENCY_MS;
-    return now - upstream.servingSince < COLD_START_MS
-      ? COLD_START_DURATION_FACTOR * typicalMs
-      : typicalMs;
+    const isCold = now - upstream.servingSince < COLD_START_MS;
+    const usualMs =
+      stats?.durationMs(placement.route) ??
+      (isCold ? COLD_START_DURATION_FACTOR * typicalMs : typicalMs);
+    if (!stats || stats.inFlight === 0) return usualMs;
+    const silentMs = now - stats.silentSince;
+    return silentMs > SILENCE_FACTOR * usualMs ? silentMs : usualMs;
   }
 
   /**
    * Expected number of calls at an upstream: those in its load report and those that this daemon
-   * sent afterwards, weighted by the report's age; at least those that this daemon has in flight.
+   * sent afterwards; the older the report, the more the typical load of the service's upstreams
+   * counts instead. At least the calls that this daemon has in flight there.
    */
-  private expectedLoad(stats: UpstreamStatistics | undefined, now: number): number {
-    if (!stats) return 0;
-    if (!stats.load) return stats.inFlight;
-    const weight = reportWeight(now - stats.loadAt);
+  private static expectedLoad(
+    stats: UpstreamStatistics | undefined,
+    typicalLoad: number,
+    ageMs: number,
+  ): number {
+    if (!stats) return typicalLoad;
+    if (!stats.load) return Math.max(stats.inFlight, typicalLoad);
+    const weight = Math.max(0, 1 - ageMs / LOAD_STALE_MS);
     const reported = stats.load.running + stats.load.waiting + stats.startedSinceReport;
-    return Math.max(stats.inFlight, weight * reported);
+    return Math.max(stats.inFlight, weight * reported + (1 - weight) * typicalLoad);
   }
 
   private failureShare(
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -25,6 +25,7 @@
   CallRequest,
   CancelSignal,
   HeaderNames,
+  RelayedReport,
   UpstreamLoad,
 } from './Types';
 import UnknownOutcomeError from './UnknownOutcomeError';
@@ -71,6 +72,8 @@
   readonly onUnreachable: () => void;
   /** Returns the zone of a daemon; without it, arrivals aren't reported by zone. */
   readonly zoneOf?: (daemon: DaemonId) => ZoneName | undefined;
+  /** Returns a report on another upstream of the service, to be passed on with the load. */
+  readonly relay?: () => RelayedReport | undefined;
 }
 
 /**
@@ -143,6 +146,7 @@
       lagMs: this.services.lagMs(),
       meanMs: this.admission.meanDurationMs,
       arrivals: this.arrivals.report(this.services.clock.now()),
+      relayed: this.services.relay?.(),
     };
   }
 
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -266,6 +266,21 @@
 /** Short key of a zone in load reports. */
 export type ZoneKey = Branded<number, 'ZoneKey'>;
 
+/**
+ * What a daemon passes on about another upstream, with the load of its own. It is used to decide how many
+ * calls leave a zone, not to choose an upstream: daemons with the same reports would crowd on the same one.
+ */
+export interface RelayedReport {
+  /** Key of the daemon beside the upstream. */
+  readonly key: number;
+  /** Age of the report, in milliseconds. */
+  readonly ageMs: number;
+  readonly slots: number;
+  readonly waiting: number;
+  readonly meanMs: number;
+  readonly arrivals: readonly number[];
+}
+
 /** Load of an upstream, which the daemon beside it reports with responses and refusals. */
 export interface UpstreamLoad {
   /** Number of running calls, each of which holds a slot. */
@@ -294,6 +309,8 @@
    * alternating; `undefined` from older releases.
    */
   readonly arrivals?: readonly number[] | undefined;
+  /** A report on another upstream of the service; `undefined` if there is none to pass on. */
+  readonly relayed?: RelayedReport | undefined;
 }
 
 /** Criteria by which the balancer chooses an upstream for a call. */
--- a/src/request/UpstreamStatistics.ts
+++ b/src/request/UpstreamStatistics.ts
@@ -1,5 +1,6 @@
 import type { RouteName } from '../common/Types';
-import type { UpstreamLoad } from './Types';
+import type { RelayedReport, UpstreamLoad } from './Types';
+import type { KnownLoad } from './ZoneOverflow';
 
 /** Weight of the newest response in the moving average of a route's durations. */
 const DURATION_WEIGHT = 0.2;
@@ -25,6 +26,12 @@
   /** Number of attempts of this daemon that are under way. */
   public inFlight = 0;
 
+  /**
+   * Monotonic time in ms since which the attempts under way have had no response: the end of the last
+   * attempt, or the start of the first one.
+   */
+  public silentSince = 0;
+
   /** Number of attempts that this daemon began after the last load report; not included in it. */
   public startedSinceReport = 0;
 
@@ -34,6 +41,9 @@
   /** Monotonic time in ms at which the last load report of the upstream arrived. */
   public loadAt = 0;
 
+  /** The last report on the upstream that another daemon passed on, and when it was made. */
+  public relayed: { readonly report: RelayedReport; readonly at: number } | undefined;
+
   /** Monotonic time in ms until which the upstream is ejected. */
   public ejectedUntil = 0;
 
@@ -61,6 +71,14 @@
     return this.durations.get(route);
   }
 
+  /** What is known of demand and capacity: the newer of the last load and the last relayed report. */
+  public get knownLoad(): KnownLoad | undefined {
+    if (this.relayed && (!this.load || this.relayed.at > this.loadAt)) {
+      return { load: this.relayed.report, loadAt: this.relayed.at };
+    }
+    return this.load && { load: this.load, loadAt: this.loadAt };
+  }
+
   /**
    * @param now - Monotonic time in ms.
    * @returns Share of the recent attempts that failed, 0 to 1; it decays with time.
--- a/src/request/ZoneOverflow.ts
+++ b/src/request/ZoneOverflow.ts
@@ -35,8 +35,8 @@
 
 /** What is known about the load of an upstream. */
 export interface KnownLoad {
-  readonly load?: UpstreamLoad | undefined;
-  /** Monotonic time in ms at which the report arrived. */
+  readonly load: Pick<UpstreamLoad, 'slots' | 'waiting' | 'meanMs' | 'arrivals'>;
+  /** Monotonic time in ms at which the report was made. */
   readonly loadAt: number;
 }
 
@@ -242,7 +242,7 @@
   ): ZoneState[] {
     const reports = upstreams.map(({ zone, daemon, slots }) => {
       const known = loadOf(daemon);
-      const isCurrent = known?.load?.arrivals && now - known.loadAt < RATES_STALE_MS;
+      const isCurrent = known?.load.arrivals && now - known.loadAt < RATES_STALE_MS;
       return { key: zoneKey(zone), slots, load: isCurrent ? known.load : undefined };
     });
     const durations = reports.flatMap(({ load }) => load?.meanMs ?? []);
--- a/src/request/channelFrames.test.ts
+++ b/src/request/channelFrames.test.ts
@@ -31,7 +31,18 @@
 });
 /** Fields that older releases leave out. */
 const laterLoad = fc.record(
-  { meanMs: count, arrivals: fc.array(count) },
+  {
+    meanMs: count,
+    arrivals: fc.array(count),
+    relayed: record({
+      key: count,
+      ageMs: count,
+      slots: fc.integer({ min: 1, max: 64 }),
+      waiting: count,
+      meanMs: count,
+      arrivals: fc.array(count),
+    }),
+  },
   { requiredKeys: [], noNullPrototype: true },
 );
 const load = fc.tuple(earlierLoad, laterLoad).map(([earlier, later]) => ({ ...earlier, ...later }));
--- a/src/request/channelFrames.ts
+++ b/src/request/channelFrames.ts
@@ -16,7 +16,7 @@
   ServiceName,
 } from '../common/Types';
 import FrameError from './FrameError';
-import type { AttemptContext, Outcome, UpstreamLoad } from './Types';
+import type { AttemptContext, Outcome, RelayedReport, UpstreamLoad } from './Types';
 
 /**
  * Maximum size of an accepted frame in bytes: the largest body that the settings allow, plus room
@@ -114,10 +114,14 @@
   return Math.max(1, Math.round(time - now));
 }
 
+function encodeRelayed({ key, ageMs, slots, waiting, meanMs, arrivals }: RelayedReport): Fields {
+  return [key, Math.round(ageMs), slots, waiting, Math.round(meanMs), ...arrivals];
+}
+
 function encodeLoad(load: UpstreamLoad | undefined): Fields | null {
   if (!load) return null;
   const { running, waiting, slots, waitMs, durationMs, failureShare, lagMs } = load;
-  const { meanMs, arrivals } = load;
+  const { meanMs, arrivals, relayed } = load;
   return [
     running,
     waiting,
@@ -128,6 +132,7 @@
     Math.round(lagMs),
     meanMs === undefined ? null : Math.round(meanMs),
     arrivals ?? null,
+    relayed ? encodeRelayed(relayed) : null,
   ];
 }
 
@@ -226,6 +231,18 @@
   return isPresent(value) ? decodeValue(value) : undefined;
 }
 
+function decodeRelayed(value: unknown): RelayedReport {
+  const [key, ageMs, slots, waiting, meanMs, ...arrivals] = expectArray(value);
+  return {
+    key: expectNumber(key),
+    ageMs: expectNumber(ageMs),
+    slots: Math.max(1, expectNumber(slots)),
+    waiting: expectNumber(waiting),
+    meanMs: expectNumber(meanMs),
+    arrivals: arrivals.map(expectNumber),
+  };
+}
+
 function decodeLoad(value: unknown): UpstreamLoad {
   const [
     running,
@@ -238,6 +255,7 @@
     // Older releases leave these out.
     meanMs,
     arrivals,
+    relayed,
   ] = expectArray(value);
   return {
     running: expectNumber(running),
@@ -249,6 +267,7 @@
     lagMs: expectNumber(lagMs),
     ...(isPresent(meanMs) && { meanMs: expectNumber(meanMs) }),
     ...(isPresent(arrivals) && { arrivals: expectArray(arrivals).map(expectNumber) }),
+    ...(isPresent(relayed) && { relayed: decodeRelayed(relayed) }),
   };
 }
 
--- /dev/null
+++ b/src/request/daemonKey.ts
@@ -0,0 +1,22 @@
+import rendezvousWeight from '../common/rendezvousWeight';
+import type { DaemonId } from '../common/Types';
+
+const KEY_COUNT = 2 ** 32;
+
+const keys = new Map<DaemonId, number>();
+
+/**
+ * Returns a short key for a daemon, so that a relayed report needs five bytes instead of the name. Two of
+ * 1,000 daemons have the same key with a probability of 1 in 8,600.
+ *
+ * @param daemon - Name of the daemon.
+ * @returns The key, the same at all daemons.
+ */
+export default function daemonKey(daemon: DaemonId): number {
+  let key = keys.get(daemon);
+  if (key === undefined) {
+    key = rendezvousWeight('daemon', daemon) % KEY_COUNT;
+    keys.set(daemon, key);
+  }
+  return key;
+}
--- a/stand-in/PlacementReplay.ts
+++ b/stand-in/PlacementReplay.ts
@@ -8,7 +8,7 @@
   ZoneName,
 } from '../src/common/Types';
 import ForecastBalancer from '../src/request/ForecastBalancer';
-import type { Upstream } from '../src/request/Types';
+import type { Upstream, UpstreamLoad } from '../src/request/Types';
 import ZoneOverflow from '../src/request/ZoneOverflow';
 import ReplayServer from './ReplayServer';
 import TickSchedule from './TickSchedule';
@@ -108,6 +108,11 @@
 
   private readonly servers: ReadonlyMap<DaemonId, ReplayServer>;
 
+  private readonly upstreams = new Map<ServiceName, readonly Upstream[]>();
+
+  /** The daemon beside each upstream. */
+  private readonly besides = new Map<ReplayServer, Caller>();
+
   private readonly routes: readonly ReplayRoute[];
 
   private readonly delayMs: { readonly near: number; readonly far: number };
@@ -124,6 +129,10 @@
       }),
     );
     this.callers = options.daemonZones.map((zone) => this.createCaller(zone));
+    [...this.servers.values()].forEach((server, index) => {
+      const sameZone = this.callers.filter(({ zone }) => zone === server.spec.zone);
+      if (sameZone.length > 0) this.besides.set(server, sameZone[index % sameZone.length]!);
+    });
     for (const caller of this.callers) this.scheduleArrival(caller);
     for (const server of this.servers.values()) this.scheduleSlowPeriod(server);
   }
@@ -163,6 +172,17 @@
     };
   }
 
+  private upstreamsOf(service: ServiceName): readonly Upstream[] {
+    let upstreams = this.upstreams.get(service);
+    if (!upstreams) {
+      upstreams = [...this.servers.values()]
+        .map(({ upstream }) => upstream)
+        .filter((upstream) => upstream.service === service);
+      this.upstreams.set(service, upstreams);
+    }
+    return upstreams;
+  }
+
   private createCaller(zone: string): Caller {
     const { isCut } = this.options;
     const { clock } = this.schedule;
@@ -177,10 +197,7 @@
     );
     const balancer = new ForecastBalancer(
       {
-        upstreams: (service) =>
-          [...this.servers.values()]
-            .map(({ upstream }) => upstream)
-            .filter((upstream) => upstream.service === service),
+        upstreams: (service) => this.upstreamsOf(service),
       },
       {
         isUnresponsive: (address) =>
@@ -256,7 +273,7 @@
       const workMs = this.workMs(server);
       this.schedule.after(workMs, () => {
         server.finish(workMs, this.now);
-        const load = server.load(this.now);
+        const load = this.loadOf(server);
         this.schedule.after(delayMs, () => {
           const latencyMs = this.now - attempt.startedAt;
           const result = { kind: 'answered' as const, latencyMs, load };
@@ -267,7 +284,7 @@
       });
     };
     if (!server.admit(start, this.now)) {
-      const load = server.load(this.now);
+      const load = this.loadOf(server);
       this.schedule.after(delayMs, () => {
         caller.balancer.end(upstream, route.name as RouteName, { kind: 'refused', load });
         if (tried.size < 2) this.send(attempt);
@@ -276,6 +293,13 @@
     }
   }
 
+  /** Load that the daemon beside an upstream reports, with what it passes on of another. */
+  private loadOf(server: ReplayServer): UpstreamLoad {
+    const { service } = server.upstream;
+    const beside = this.besides.get(server);
+    return { ...server.load(this.now), relayed: beside?.balancer.relay(service) };
+  }
+
   private end(attempt: Attempt, to: string | undefined, waitMs: number, served: boolean): void {
     const { startedAt, caller, service, route } = attempt;
     this.results.push({
