--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -343,26 +343,6 @@
   const { settings, resources, clock, random, names, lag, logger } = core;
   const attempts = new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock);
   const runs = new UpstreamRuns(clock);
-  const registration = resources.add(
-    new UpstreamRegistration({
-      members,
-      recall,
-      keeper: new WithdrawalKeeper(overlay, source.withdrawals, logger('upstream')),
-      versions,
-      attempts,
-      runs,
-      names,
-      lagMs: () => lag.currentMs,
-      waitedMs: () => lag.maxReadDelayMs,
-      leaseMs: settings.upstream.lease,
-      clock,
-      timeOfDay: () => Date.now(),
-      processStartedAt: Date.now() - performance.now(),
-      logger: logger('upstream'),
-    }),
-  );
-  source.withdrawals?.onRecall((withdrawals) => registration.recall(withdrawals));
-  source.withdrawals?.onRestore(() => registration.storeWithdrawalsAgain());
   const { calls } = settings;
   const channels = resources.add(
     new CallChannels(settings.daemon.name, calls.connect, clock, logger('peer')),
@@ -393,6 +373,27 @@
     logger('zones'),
   );
   const balancer = new ForecastBalancer(members, liveness, zone, overflow, clock, random);
+  const registration = resources.add(
+    new UpstreamRegistration({
+      members,
+      relay: (service) => balancer.relay(service),
+      recall,
+      keeper: new WithdrawalKeeper(overlay, source.withdrawals, logger('upstream')),
+      versions,
+      attempts,
+      runs,
+      names,
+      lagMs: () => lag.currentMs,
+      waitedMs: () => lag.maxReadDelayMs,
+      leaseMs: settings.upstream.lease,
+      clock,
+      timeOfDay: () => Date.now(),
+      processStartedAt: Date.now() - performance.now(),
+      logger: logger('upstream'),
+    }),
+  );
+  source.withdrawals?.onRecall((withdrawals) => registration.recall(withdrawals));
+  source.withdrawals?.onRestore(() => registration.storeWithdrawalsAgain());
   const sweepTimer = setInterval(() => {
     balancer.forgetUnused();
     channels.closeIdle();
