Move a service's calls to an ordered software version by evidence

Rollout orders were declared, but nothing acted on them: upstreams of a new version got their full share of the calls as soon as they served.

Upstreams' versions travel in heartbeats, announcements and member records. Orders come from the store's records rollout/SERVICE or from [rollout.SERVICE]. Each daemon counts responses by version and route; counts, decisions and ages of orders spread with the messages that carry member records, only while a rollout runs. A sequential test compares the versions; the target's share grows from 5 % by evidence, to all calls shortly before the deadline. States are recorded in the store on the condition that nothing was appended since a read.

Measured: unit tests of Gossip, MemberTable, settings, UpstreamRegistration, Call and platform pass. ConfigurationWatcher.test.ts doesn't end within 20 s, with and without this change.

--- a/src/connection/Gossip.ts
+++ b/src/connection/Gossip.ts
@@ -2,6 +2,7 @@
 import GossipMeter from './GossipMeter';
 import { memberSchema } from './messageSchema';
 import Outbox from './Outbox';
+import type Rollouts from '../rollout/Rollouts';
 import type { Heartbeat, HeadTracker, Membership, MemberRecord } from './Types';
 
 /**
@@ -32,8 +33,10 @@
     private readonly heads: HeadTracker,
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly rollouts?: Rollouts,
   ) {
     this.subscriptions = [
+      ...(rollouts ? [rollouts.onNews(() => this.wakeForRollouts())] : []),
       members.onChange((records) => this.enqueueRecords(records)),
       heads.onAdvance(() => this.scheduleAnnouncement()),
     ];
@@ -44,6 +47,7 @@
    * @returns Outbox of the connection; must be released with {@link Gossip.closeOutbox}.
    */
   public openOutbox(peer: DaemonId): Outbox {
+    this.rollouts?.forget(peer);
     const outbox = new Outbox(peer, this.meter);
     this.outboxes.add(outbox);
     return outbox;
@@ -59,6 +63,37 @@
   /** @param outbox - Outbox of a connection that ended. */
   public closeOutbox(outbox: Outbox): void {
     this.outboxes.delete(outbox);
+    // What was sent last may be lost with the connection.
+    this.rollouts?.forget(outbox.peer);
+  }
+
+  /**
+   * @param peer - Receiver of the next message.
+   * @returns News of rollouts that it lacks; `undefined` if there are none.
+   */
+  public rolloutNews(peer: DaemonId): readonly unknown[] | undefined {
+    return this.rollouts?.collect(peer);
+  }
+
+  /**
+   * @param peer - A peer.
+   * @returns Whether there is news of rollouts for it.
+   */
+  public hasRolloutNews(peer: DaemonId): boolean {
+    return this.rollouts?.hasNewsFor(peer) ?? false;
+  }
+
+  /** What is decided about all rollouts; `undefined` if there are none. */
+  public get rolloutHeads(): readonly unknown[] | undefined {
+    return this.rollouts?.heads;
+  }
+
+  /**
+   * @param news - News of rollouts in a message, if any; not validated yet.
+   * @param source - Id of the sender.
+   */
+  public receiveRollouts(news: readonly unknown[] | undefined, source: DaemonId): void {
+    if (news) this.rollouts?.receive(news, source);
   }
 
   /**
@@ -108,6 +143,10 @@
     return [];
   }
 
+  private wakeForRollouts(): void {
+    for (const outbox of this.outboxes) if (this.hasRolloutNews(outbox.peer)) outbox.wake();
+  }
+
   private enqueueRecords(records: readonly MemberRecord[]): void {
     for (const outbox of this.outboxes) outbox.enqueue(records);
   }
--- a/src/connection/MemberTable.ts
+++ b/src/connection/MemberTable.ts
@@ -41,7 +41,10 @@
 
 /** Fields of its own record that a daemon can change. */
 export type SelfUpdate = Partial<
-  Pick<MemberRecord, 'service' | 'state' | 'healthHint' | 'slots' | 'readsLog' | 'withdrawals'>
+  Pick<
+    MemberRecord,
+    'service' | 'state' | 'healthHint' | 'slots' | 'version' | 'readsLog' | 'withdrawals'
+  >
 >;
 
 interface MemberEntry {
@@ -304,6 +307,7 @@
         healthHint: record.healthHint,
         servingSince,
         slots: record.slots ?? undefined,
+        version: record.version,
       }));
   }
 }
--- a/src/connection/Overlay.ts
+++ b/src/connection/Overlay.ts
@@ -139,10 +139,12 @@
     try {
       await this.peerClient.request(member.address, async (client, signal) => {
         const reply = await client.sync.mutate({ buckets: members.buckets() }, { signal });
+        gossip.receiveRollouts(reply.rollouts, member.id);
         gossip.receive(reply.records, member.id);
         this.syncEmitter.fire(reply.records);
         const records = known ? [members.self, known] : [members.self];
-        await client.beat.mutate({ records, beat: gossip.createHeartbeat() }, { signal });
+        const beat = gossip.createHeartbeat();
+        await client.beat.mutate({ records, beat, rollouts: gossip.rolloutHeads }, { signal });
       });
       return true;
     } catch {
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -146,7 +146,8 @@
         const isHeartbeatDue =
           !woken ||
           this.heartbeatRequested ||
-          this.outbox.hasPending(this.services.heads.offer.version);
+          this.outbox.hasPending(this.services.heads.offer.version) ||
+          this.services.gossip.hasRolloutNews(this.peer.id);
         if (!ended.aborted && isHeartbeatDue) await this.exchangeHeartbeats(connection);
       }
       if (!signal.aborted) throw new PeerError(this.peer.id, 'the connection was closed');
@@ -198,10 +199,12 @@
     const update: HeartbeatRequest = {
       records: this.outbox.drain(),
       beat: gossip.createHeartbeat(),
+      rollouts: gossip.rolloutNews(this.peer.id),
     };
     const reply = await this.awaitResponse(connection.ended, (signal) =>
       connection.client.beat.mutate(update, { signal }),
     );
+    gossip.receiveRollouts(reply.rollouts, this.peer.id);
     await this.catchUp(connection, reply.beat);
     if (reply.wanted) await this.deliverDelta(connection, reply.wanted);
     this.digestMismatches = reply.beat.members === members.digest() ? 0 : this.digestMismatches + 1;
@@ -249,9 +252,10 @@
     this.currentStage = 'sync';
     const request = { buckets: members.buckets() };
     gossip.meter.add('syncs');
-    const { differing, records } = await this.awaitResponse(ended, (signal) =>
+    const { differing, records, rollouts } = await this.awaitResponse(ended, (signal) =>
       client.sync.mutate(request, { signal }),
     );
+    gossip.receiveRollouts(rollouts, this.peer.id);
     gossip.receive(records, this.peer.id);
     this.services.onSync(records);
     const peerRecords = new Map(records.map((record) => [record.id, record]));
@@ -276,8 +280,9 @@
 
   private async receiveUpdate(
     connection: PeerConnection,
-    { records, beat }: GossipUpdate,
+    { records, beat, rollouts }: GossipUpdate,
   ): Promise<void> {
+    this.services.gossip.receiveRollouts(rollouts, this.peer.id);
     this.services.gossip.receive(records, this.peer.id);
     if (!beat) return;
     try {
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -12,6 +12,7 @@
   InstanceId,
   Offset,
   ServiceName,
+  SoftwareVersion,
   VersionNumber,
   ZoneName,
 } from '../common/Types';
@@ -194,6 +195,8 @@
   readonly healthHint: boolean;
   /** Number of calls that the upstream can run concurrently; null if it did not report this. */
   readonly slots: number | null;
+  /** Software version of the upstream; `undefined` if it reported none. */
+  readonly version?: SoftwareVersion | undefined;
   /** Whether the daemon's reads of the log currently succeed. */
   readonly readsLog: boolean;
   /** Bandwidth of the VM's link in Mbit/s; `undefined` if its settings don't tell. */
@@ -226,6 +229,8 @@
 export interface HeartbeatRequest {
   readonly records: readonly MemberRecord[];
   readonly beat: Heartbeat;
+  /** News about rollouts; validated by their receiver. */
+  readonly rollouts?: readonly unknown[] | undefined;
 }
 
 /** Response to a heartbeat. */
@@ -236,6 +241,8 @@
    * already fetching them from another peer.
    */
   readonly wanted: DeltaRequest | null;
+  /** News about rollouts; validated by their receiver. */
+  readonly rollouts?: readonly unknown[] | undefined;
 }
 
 /**
@@ -255,6 +262,8 @@
 export interface GossipUpdate {
   readonly records: readonly MemberRecord[];
   readonly beat: Heartbeat | null;
+  /** News about rollouts; validated by their receiver. */
+  readonly rollouts?: readonly unknown[] | undefined;
 }
 
 /** Anti-entropy request: digests of the sender's member table, one for each bucket. */
@@ -266,6 +275,8 @@
 export interface SyncReply {
   readonly differing: readonly number[];
   readonly records: readonly MemberRecord[];
+  /** All rollouts that the responder knows, also those that have ended; validated by their receiver. */
+  readonly rollouts?: readonly unknown[] | undefined;
 }
 
 /** Changes that turn one version into a later one, compressed by `packChanges`. */
--- a/src/connection/messageSchema.ts
+++ b/src/connection/messageSchema.ts
@@ -12,6 +12,7 @@
   InstanceId,
   Offset,
   ServiceName,
+  SoftwareVersion,
   VersionNumber,
   ZoneName,
 } from '../common/Types';
@@ -27,6 +28,8 @@
 } from './Types';
 
 const MAX_RECORDS_PER_MESSAGE = 20_000;
+/** Maximum number of services about whose rollouts a message may tell. */
+const MAX_ROLLOUTS_PER_MESSAGE = 64;
 const MAX_BUCKETS = 256;
 /** Maximum number of withdrawals in a member record; a daemon sends fewer. */
 const MAX_WITHDRAWALS = 64;
@@ -66,6 +69,7 @@
   state: z.enum(['none', 'warming', 'serving', 'draining', 'gone']),
   healthHint: z.boolean(),
   slots: z.int().min(1).nullable(),
+  version: textSchema<SoftwareVersion>().optional(),
   readsLog: z.boolean(),
   linkMbps: z.number().positive().optional(),
   withdrawals: z.array(withdrawalSchema).max(MAX_WITHDRAWALS).optional(),
@@ -86,6 +90,7 @@
 export const heartbeatRequestSchema = z.object({
   records: z.array(z.unknown()).max(MAX_RECORDS_PER_MESSAGE).readonly(),
   beat: heartbeatSchema,
+  rollouts: z.array(z.unknown()).max(MAX_ROLLOUTS_PER_MESSAGE).readonly().optional(),
 });
 
 /** Schema of a {@link SyncRequest}. */
--- a/src/connection/peerRouter.ts
+++ b/src/connection/peerRouter.ts
@@ -73,10 +73,15 @@
   return trpc.router({
     /** Receives a heartbeat with the member records changed since the previous one. */
     beat: trpc.procedure.input(heartbeatRequestSchema).mutation(({ input }): HeartbeatReply => {
+      gossip.receiveRollouts(input.rollouts, input.beat.from);
       gossip.receive(input.records, input.beat.from);
       gossip.recordPeerVersion(input.beat);
       heads.observeHeartbeat(input.beat);
-      return { beat: gossip.createHeartbeat(), wanted: requestDelta(input.beat) };
+      return {
+        beat: gossip.createHeartbeat(),
+        wanted: requestDelta(input.beat),
+        rollouts: gossip.rolloutNews(input.beat.from),
+      };
     }),
 
     /** Receives the configuration changes that the reply to a heartbeat requested. */
@@ -101,7 +106,8 @@
           const { version } = heads.offer;
           const beat = outbox.isNewerThanPeer(version) ? gossip.createHeartbeat() : null;
           outbox.recordPeerVersion(version);
-          if (records.length > 0 || beat) yield { records, beat };
+          const rollouts = gossip.rolloutNews(input);
+          if (records.length > 0 || beat || rollouts) yield { records, beat, rollouts };
         }
       } finally {
         gossip.closeOutbox(outbox);
@@ -120,7 +126,11 @@
       services.queryQueue.add(() => {
         const own = members.buckets();
         const differing = own.map((_, bucket) => bucket).filter((b) => own[b] !== input.buckets[b]);
-        return { differing, records: members.bucketRecords(differing) };
+        return {
+          differing,
+          records: members.bucketRecords(differing),
+          rollouts: gossip.rolloutHeads,
+        };
       }),
     ),
 
--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -7,6 +7,7 @@
 import type AttemptRegistry from '../request/AttemptRegistry';
 import type CallHandler from '../request/CallHandler';
 import isIdempotent from '../request/isIdempotent';
+import type Rollouts from '../rollout/Rollouts';
 import type { Configuration, Head } from '../version/Types';
 import type { Settings } from './settings';
 import type { DaemonStatus, DaemonDump, RouteExplanation, RouteState } from './Types';
@@ -24,6 +25,7 @@
   readonly calls: CallHandler;
   readonly attempts: AttemptRegistry;
   readonly registration: UpstreamRegistration;
+  readonly rollouts: Rollouts;
   readonly meter: SocketMeter;
   readonly configuration: () => Configuration | undefined;
   /** Number of faults that keep files out of the version in force. */
@@ -59,6 +61,7 @@
       digest: heads.head?.digest ?? null,
       knowledgeAgeMs: this.knowledgeAgeMs(),
       problems: this.problems(),
+      rollouts: this.dependencies.rollouts.states.filter(({ verdict }) => verdict === null),
     };
   }
 
@@ -91,6 +94,7 @@
       gossip: dependencies.overlay.counts,
       calls: { open: dependencies.calls.openCalls, rememberedAttempts: dependencies.attempts.size },
       upstream: dependencies.registration.status,
+      rollouts: dependencies.rollouts.states,
       controlBytes: dependencies.meter.bytes,
       memory: { residentBytes: rss, heapBytes: heapUsed },
     };
--- a/src/process/Types.ts
+++ b/src/process/Types.ts
@@ -9,11 +9,13 @@
   Incarnation,
   InstanceId,
   ServiceName,
+  SoftwareVersion,
   ZoneName,
 } from '../common/Types';
 import type { GossipCounts } from '../connection/GossipMeter';
 import type { LinkState } from '../connection/Overlay';
 import type { LogReaderState, MemberRecord } from '../connection/Types';
+import type { RolloutState } from '../rollout/Rollout';
 import type { Provenance, Route, Service } from '../version/Types';
 
 /** Version in force on a daemon, as reported by the command `status`. */
@@ -27,6 +29,8 @@
   readonly knowledgeAgeMs: number | null;
   /** Reasons why the version may be outdated; empty if no problem is known. */
   readonly problems: readonly string[];
+  /** Rollouts without a verdict, and why they stand where they stand. */
+  readonly rollouts: readonly RolloutState[];
 }
 
 /** A route and whether it is in force on this daemon. */
@@ -47,6 +51,8 @@
     readonly routes: readonly RouteState[];
     readonly provenance: readonly Provenance[];
   } | null;
+  /** All rollouts, including those that have ended. */
+  readonly rollouts: readonly RolloutState[];
   readonly log: LogReaderState & { readonly checkpointsWritten: number };
   readonly members: readonly MemberRecord[];
   readonly links: readonly LinkState[];
@@ -74,6 +80,8 @@
   readonly startedAt?: number;
   /** Sequence number, which increases with each announcement of one upstream process. */
   readonly sequence?: number;
+  /** Version of the upstream's software; `undefined` if it reports none. */
+  readonly version?: SoftwareVersion;
   /** Remaining warm-up time of the upstream, in which it is slower, in milliseconds. */
   readonly coldMs?: number;
 }
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -333,7 +333,7 @@
   }
 
   private logAnnouncement(announcement: Announcement): void {
-    const { service, address, state, instance, startedAt, sequence, slots } = announcement;
+    const { service, address, state, instance, startedAt, sequence, slots, version } = announcement;
     this.services.logger.log('An upstream announced itself.', {
       service,
       address,
@@ -342,6 +342,7 @@
       startedAt,
       sequence,
       slots,
+      version,
     });
   }
 
@@ -438,6 +439,7 @@
       self.state === fields.state &&
       self.healthHint === fields.healthHint &&
       self.slots === fields.slots &&
+      self.version === fields.version &&
       self.withdrawals === fields.withdrawals;
     if (!isSame) this.services.members.updateSelf(fields);
   }
@@ -445,14 +447,22 @@
   private ownMemberFields() {
     const withdrawals = this.withdrawals.list;
     if (!this.registered) {
-      return { service: null, state: 'none' as const, healthHint: true, slots: null, withdrawals };
+      return {
+        service: null,
+        state: 'none' as const,
+        healthHint: true,
+        slots: null,
+        version: undefined,
+        withdrawals,
+      };
     }
-    const { service, state, healthy, slots } = this.registered.announcement;
+    const { service, state, healthy, slots, version } = this.registered.announcement;
     return {
       service,
       state: this.advertisedState(this.registered, state),
       healthHint: healthy,
       slots: slots ?? null,
+      version,
       withdrawals,
     };
   }
--- a/src/process/announcementSchema.ts
+++ b/src/process/announcementSchema.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 import isAddress from '../common/isAddress';
-import type { Address, ServiceName } from '../common/Types';
+import type { Address, ServiceName, SoftwareVersion } from '../common/Types';
 import type { Announcement } from './Types';
 
 /** Body of an upstream's announcement to the control address. */
@@ -16,6 +16,12 @@
   state: z.enum(['warming', 'serving', 'draining']),
   healthy: z.boolean().default(true),
   slots: z.int().min(1).optional(),
+  version: z
+    .string()
+    .min(1)
+    .max(255)
+    .transform((value) => value as SoftwareVersion)
+    .optional(),
 });
 
 export default announcementSchema;
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -114,6 +114,11 @@
       share: ratio.default(0.1),
       slack: slack.default(50),
       rollback: duration('5s'),
+      /**
+       * Time for which a version that appears beside another one of its service gets no calls, as the order
+       * that names it may not have arrived yet; without it, it gets calls at once.
+       */
+      hold: duration('2s').optional(),
     })
     .prefault({}),
   logging: z
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -47,6 +47,10 @@
 import PeerTransport from '../request/PeerTransport';
 import RetryAdvice from '../request/RetryAdvice';
 import RoutingTransport from '../request/RoutingTransport';
+import RolloutRecorder from '../rollout/RolloutRecorder';
+import RolloutRouter from '../rollout/RolloutRouter';
+import Rollouts from '../rollout/Rollouts';
+import type { RolloutStore } from '../rollout/Types';
 import mergeAccepted from '../version/mergeAccepted';
 import { mergeSteps } from '../version/mergeFolder';
 import mergePublication from '../version/mergePublication';
@@ -89,6 +93,8 @@
  */
 const IDLE_SWEEP_INTERVAL_MS = 60_000;
 const MS_PER_SECOND = 1_000;
+/** Upper bound of the number of a daemon's run, in the counts of rollouts. */
+const RUN_BOUND = 2 ** 31;
 /**
  * Upper bound of the random incarnation with which a daemon starts. If a peer knows a higher
  * incarnation of this daemon, the daemon raises its own.
@@ -151,6 +157,8 @@
   readonly contacts: ContactStore;
   /** Where withdrawals are stored; `undefined` if only peers keep them. */
   readonly withdrawals: WithdrawalStore | undefined;
+  /** Where the states of rollouts are recorded; `undefined` if peers alone decide. */
+  readonly rollouts: RolloutStore | undefined;
   /** Interval at which the daemon renews its contact record, in milliseconds. */
   readonly refreshMs: number;
   readonly checkpointsWritten: () => number;
@@ -211,6 +219,7 @@
     logReader,
     contacts: new LogContacts(log, logger('join')),
     withdrawals: undefined,
+    rollouts: undefined,
     refreshMs: retention / CONTACT_RENEWALS_PER_RETENTION,
     checkpointsWritten: () => checkpoints.count,
     hasRead: () => logReader.state.anchored,
@@ -252,6 +261,7 @@
     logReader: watcher,
     contacts: store,
     withdrawals: store,
+    rollouts: store,
     refreshMs: retention / CONTACT_RENEWALS_PER_RETENTION,
     checkpointsWritten: () => 0,
     hasRead: () => watcher.hasRead,
@@ -272,14 +282,63 @@
 
 type ConfigurationComponents = ReturnType<typeof wireConfiguration>;
 
+/** Creates the rollouts, which take their orders from the store or from the configuration in force. */
+function wireRollouts(
+  { settingsHolder, settings, resources, clock, random, logger }: Core,
+  members: MemberTable,
+  { versions, heads, source }: ConfigurationComponents,
+): Rollouts {
+  const log = logger('rollout');
+  const reachable = () =>
+    members
+      .live()
+      .filter(({ health }) => health === 'alive')
+      .map(({ id }) => id);
+  const rollouts = resources.add(
+    new Rollouts({
+      daemon: settings.daemon.name,
+      run: random.below(RUN_BOUND),
+      limits: () => settingsHolder.current.rollouts,
+      upstreams: (service) => members.upstreams(service),
+      members: () => members.live().map(({ id }) => id),
+      isStoreCurrent: () => {
+        const { confirmedAt } = heads.knowledge;
+        return confirmedAt !== undefined && clock.now() - confirmedAt <= settings.log.stale;
+      },
+      hasStore: source.rollouts !== undefined,
+      clock,
+      logger: log,
+    }),
+  );
+  let isStarting = true;
+  versions.onActivate(({ head, configuration: { rollouts: orders } }) => {
+    for (const order of orders.values()) {
+      const known = rollouts.get(order.service)?.order;
+      const isSame = known?.version === order.version && known.durationMs === order.durationMs;
+      if (!isSame) rollouts.order({ ...order, number: head.version }, !isStarting);
+    }
+    isStarting = false;
+  });
+  const { rollouts: store } = source;
+  if (!store) return rollouts;
+  store.onOrders((readings) => {
+    for (const { order, isNew } of readings) rollouts.order(order, isNew);
+  });
+  resources.add(
+    new RolloutRecorder(rollouts, store, settings.daemon.name, reachable, clock, random, log),
+  );
+  return rollouts;
+}
+
 /** Creates the links to other daemons and the discovery of the first peers. */
 function wirePeers(
   core: Core,
   members: MemberTable,
   { heads, source, doubt }: ConfigurationComponents,
+  rollouts: Rollouts,
 ) {
   const { settings, resources, clock, random, meter, logger } = core;
-  const gossip = resources.add(new Gossip(members, heads, clock, logger('peer')));
+  const gossip = resources.add(new Gossip(members, heads, clock, logger('peer'), rollouts));
   const fetchLease = new FetchLease(clock);
   const peerClient = new PeerClient(meter);
   const heartbeatIntervalMs = settings.peers.heartbeat;
@@ -316,6 +375,7 @@
   members: MemberTable,
   { versions, source }: ConfigurationComponents,
   { peerClient, overlay, recall }: PeerComponents,
+  rollouts: Rollouts,
 ) {
   const { settings, resources, clock, random, names, lag, logger } = core;
   const attempts = new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock);
@@ -356,9 +416,17 @@
       logger('peer'),
     ),
   );
-  const balancer = new ForecastBalancer(members, liveness, settings.daemon.zone, clock, random);
+  const forecast = new ForecastBalancer(members, liveness, settings.daemon.zone, clock, random);
+  const balancer = new RolloutRouter(
+    forecast,
+    rollouts,
+    (service) => members.upstreams(service),
+    () => core.settingsHolder.current.rollouts.hold,
+    clock,
+    random,
+  );
   const sweepTimer = setInterval(() => {
-    balancer.forgetUnused();
+    forecast.forgetUnused();
     channels.closeIdle();
   }, IDLE_SWEEP_INTERVAL_MS).unref();
   resources.add({ dispose: () => clearInterval(sweepTimer) });
@@ -419,6 +487,7 @@
   readiness: Readiness,
   acceptDelays: AcceptDelays,
   listener: Listener,
+  rollouts: Rollouts,
 ) {
   const { daemon: own, calls } = settings;
   const retries = () => settingsHolder.current.retries;
@@ -452,6 +521,7 @@
     lagMs: () => lag.currentMs,
     waitedMs: () => lag.maxReadDelayMs,
     onAttempt: metrics.onAttempt,
+    onAttemptEnd: rollouts.record,
     onCallEnd: metrics.onCall,
     overloadGuard: new OverloadGuard(() => lag.currentMs, random),
     acceptedAfterMs: (socket) => acceptDelays.takeMaxDelayMs(socket),
@@ -502,8 +572,9 @@
 
   const members = wireMembers(core, addresses);
   const configuration = wireConfiguration(core, members);
-  const peers = wirePeers(core, members, configuration);
-  const upstreams = wireUpstreams(core, members, configuration, peers);
+  const rollouts = wireRollouts(core, members, configuration);
+  const peers = wirePeers(core, members, configuration, rollouts);
+  const upstreams = wireUpstreams(core, members, configuration, peers, rollouts);
   const metrics = wireMetrics(core, members, configuration, peers, upstreams);
   const { versions, heads, source } = configuration;
   const { gossip, fetchLease, peerClient, overlay, joiner } = peers;
@@ -526,6 +597,7 @@
     readiness,
     acceptDelays,
     listeners.calls,
+    rollouts,
   );
   metrics.watchOpenCalls(() => calls.openCalls);
   applyListenerTimeouts(versions, listeners.calls);
@@ -572,6 +644,7 @@
     calls,
     attempts,
     registration,
+    rollouts,
     meter,
     configuration: () => versions.snapshot?.configuration,
     leftOut: () => versions.snapshot?.leftOut.length ?? 0,
--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -1,4 +1,11 @@
-import type { AttemptNumber, Clock, DaemonId, Incarnation, ServiceName } from '../common/Types';
+import type {
+  AttemptNumber,
+  Clock,
+  DaemonId,
+  Incarnation,
+  RouteName,
+  ServiceName,
+} from '../common/Types';
 import type { Organisation, Route, Service } from '../version/Types';
 import CallError from './CallError';
 import runHedgedAttempts, { type Attempt } from './runHedgedAttempts';
@@ -11,6 +18,7 @@
 import type {
   Answer,
   AttemptContext,
+  AttemptEnd,
   AttemptResult,
   AttemptTransport,
   Balancer,
@@ -73,6 +81,8 @@
   readonly waitedMs: () => number;
   /** Called when an attempt is sent, for the metrics. */
   readonly onAttempt: (kind: 'first' | 'retry' | 'hedge') => void;
+  /** Called when an attempt has ended, for the comparison of software versions. */
+  readonly onAttemptEnd?: (upstream: Upstream, route: RouteName, end: AttemptEnd) => void;
 }
 
 /** Configuration that applies to a call, taken from the version in force when the call began. */
@@ -361,9 +371,12 @@
     balancer.begin(upstream);
     const startedAt = clock.now();
     let result: AttemptResult = { kind: 'cancelled' };
+    let status: number | undefined;
+    let isNotRun = false;
     try {
       const answer = await transport.send(upstream, this.request, context, signal, onSilent);
       trace.result = String(answer.status);
+      status = answer.status;
       const latencyMs = clock.now() - startedAt;
       result = RETRYABLE_STATUSES.has(answer.status)
         ? { kind: 'failed' }
@@ -371,7 +384,8 @@
       return answer;
     } catch (error) {
       trace.result = (error as Error).message;
-      if (!(error instanceof NotRunError)) this.mayHaveRun = true;
+      isNotRun = error instanceof NotRunError;
+      if (!isNotRun) this.mayHaveRun = true;
       const { details } = error as Partial<NotRunError>;
       if (error instanceof NotRunError && !details?.reachedUpstream) this.receivedAttempts -= 1;
       if (details?.load !== undefined) result = { kind: 'refused', load: details.load };
@@ -383,6 +397,12 @@
       trace.elapsedMs = Math.round(clock.now() - startedAt);
       this.longestAttemptMs = Math.max(this.longestAttemptMs ?? 0, trace.elapsedMs);
       balancer.end(upstream, this.policy.route.name, result);
+      this.services.onAttemptEnd?.(upstream, this.policy.route.name, {
+        status,
+        isCancelled: status === undefined && signal.aborted,
+        isNotRun,
+        elapsedMs: clock.now() - startedAt,
+      });
     }
   }
 
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -15,6 +15,7 @@
   RequestId,
   RouteName,
   ServiceName,
+  SoftwareVersion,
   ZoneName,
 } from '../common/Types';
 import type { Priority } from '../version/Types';
@@ -146,6 +147,8 @@
    * configured for its service applies.
    */
   readonly slots: number | undefined;
+  /** Version of the upstream's software; `undefined` if it reported none. */
+  readonly version?: SoftwareVersion | undefined;
 }
 
 /** Lists the upstreams of services. */
@@ -325,6 +328,17 @@
   readonly ageMs: number;
 }
 
+/** How an attempt at an upstream ended, for the comparison of the upstreams' software versions. */
+export interface AttemptEnd {
+  /** Status of the response; `undefined` if there was none. */
+  readonly status: number | undefined;
+  /** Whether the caller's daemon gave the attempt up before a response arrived. */
+  readonly isCancelled: boolean;
+  /** Whether the attempt provably didn't run. */
+  readonly isNotRun: boolean;
+  readonly elapsedMs: number;
+}
+
 /** Result of one attempt, with the measurements that the balancer uses for later choices. */
 export type AttemptResult =
   | { readonly kind: 'answered'; readonly latencyMs: number; readonly load?: UpstreamLoad }
--- a/stand-in/PlatformStoreServer.ts
+++ b/stand-in/PlatformStoreServer.ts
@@ -78,6 +78,14 @@
     for (const wake of wakeups) wake();
   }
 
+  /**
+   * @param topic - Name of a topic.
+   * @returns The contents of its records.
+   */
+  public values(topic: string): readonly string[] {
+    return this.topic(topic).records.map(({ value }) => value);
+  }
+
   /**
    * @param topic - Name of a topic.
    * @returns The keys of its records.
@@ -125,10 +133,15 @@
   private async append(
     request: IncomingMessage,
     response: ServerResponse,
-    { topic }: Record<string, string>,
+    { topic, at }: Record<string, string>,
   ): Promise<void> {
     const records = await buffer(request);
     const offset = this.topic(topic!).records.length;
+    if (at !== undefined && Number(at) !== offset) {
+      response.writeHead(412, { 'content-type': 'application/json' });
+      response.end(JSON.stringify({ end: offset }));
+      return;
+    }
     const body = Buffer.concat([Buffer.alloc(READ_HEADER_BYTES), records]);
     for (const { key, value } of decodeRecords(body, offset as Offset).records) {
       this.put(value, topic, key);
