--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -9,6 +9,7 @@
 import type AttemptRegistry from '../request/AttemptRegistry';
 import type CallHandler from '../request/CallHandler';
 import isIdempotent from '../request/isIdempotent';
+import type Rollouts from '../rollout/Rollouts';
 import type { Configuration, Head } from '../version/Types';
 import type { Settings } from './settings';
 import type {
@@ -35,6 +36,7 @@
   readonly calls: CallHandler;
   readonly attempts: AttemptRegistry;
   readonly registration: UpstreamRegistration;
+  readonly rollouts: Rollouts;
   readonly meter: SocketMeter;
   readonly configuration: () => Configuration | undefined;
   /** Number of faults that keep files out of the version in force. */
@@ -72,6 +74,7 @@
       proofAgeMs: this.proofAgeMs(),
       problems: this.problems(),
       quotas: this.dependencies.quotas.state.organisations,
+      rollouts: this.dependencies.rollouts.states.filter(({ verdict }) => verdict === null),
     };
   }
 
@@ -105,6 +108,7 @@
       calls: { open: dependencies.calls.openCalls, rememberedAttempts: dependencies.attempts.size },
       quotas: dependencies.quotas.state,
       upstream: dependencies.registration.status,
+      rollouts: dependencies.rollouts.states,
       controlBytes: dependencies.meter.bytes,
       memory: { residentBytes: rss, heapBytes: heapUsed },
     };
--- a/src/process/Types.ts
+++ b/src/process/Types.ts
@@ -9,6 +9,7 @@
   Incarnation,
   InstanceId,
   ServiceName,
+  SoftwareVersion,
   ZoneName,
 } from '../common/Types';
 import type { GossipCounts } from '../connection/GossipMeter';
@@ -16,6 +17,7 @@
 import type { QuotaState } from '../connection/QuotaExchange';
 import type { LogReaderState, MemberRecord } from '../connection/Types';
 import type { QuotaUse } from '../request/QuotaClient';
+import type { RolloutState } from '../rollout/Rollout';
 import type { Organisation, Provenance, Route, Service } from '../version/Types';
 
 /** Version in force on a daemon, as reported by the command `status`. */
@@ -33,6 +35,8 @@
   readonly problems: readonly string[];
   /** Quotas of the organisations that have sent calls here lately; older releases leave them out. */
   readonly quotas?: readonly QuotaUse[];
+  /** Rollouts without a verdict, and why they stand where they stand. */
+  readonly rollouts: readonly RolloutState[];
 }
 
 /** A route and whether it is in force on this daemon. */
@@ -60,6 +64,8 @@
     readonly organisations: readonly OrganisationState[];
     readonly provenance: readonly Provenance[];
   } | null;
+  /** All rollouts, including those that have ended. */
+  readonly rollouts: readonly RolloutState[];
   readonly log: LogReaderState & { readonly checkpointsWritten: number };
   readonly members: readonly MemberRecord[];
   readonly links: readonly LinkState[];
@@ -88,6 +94,8 @@
   readonly startedAt?: number;
   /** Sequence number, which increases with each announcement of one upstream process. */
   readonly sequence?: number;
+  /** Version of the upstream's software; `undefined` if it reports none. */
+  readonly version?: SoftwareVersion;
   /** Remaining warm-up time of the upstream, in which it is slower, in milliseconds. */
   readonly coldMs?: number;
 }
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -52,6 +52,10 @@
 import RoutingTransport from '../request/RoutingTransport';
 import UpstreamRuns from '../request/UpstreamRuns';
 import ZoneOverflow from '../request/ZoneOverflow';
+import RolloutRecorder from '../rollout/RolloutRecorder';
+import RolloutRouter from '../rollout/RolloutRouter';
+import Rollouts from '../rollout/Rollouts';
+import type { RolloutStore } from '../rollout/Types';
 import mergeAccepted from '../version/mergeAccepted';
 import { mergeSteps } from '../version/mergeFolder';
 import mergePublication from '../version/mergePublication';
@@ -94,6 +98,8 @@
  */
 const IDLE_SWEEP_INTERVAL_MS = 60_000;
 const MS_PER_SECOND = 1_000;
+/** Upper bound of the number of a daemon's run, in the counts of rollouts. */
+const RUN_BOUND = 2 ** 31;
 /**
  * Upper bound of the random incarnation with which a daemon starts. If a peer knows a higher
  * incarnation of this daemon, the daemon raises its own.
@@ -156,6 +162,8 @@
   readonly contacts: ContactStore;
   /** Where withdrawals are stored; `undefined` if only peers keep them. */
   readonly withdrawals: WithdrawalStore | undefined;
+  /** Where the states of rollouts are recorded; `undefined` if peers alone decide. */
+  readonly rollouts: RolloutStore | undefined;
   /** Interval at which the daemon renews its contact record, in milliseconds. */
   readonly refreshMs: number;
   readonly checkpointsWritten: () => number;
@@ -218,6 +226,7 @@
     logReader,
     contacts: new LogContacts(log, logger('join')),
     withdrawals: undefined,
+    rollouts: undefined,
     refreshMs: retention / CONTACT_RENEWALS_PER_RETENTION,
     checkpointsWritten: () => checkpoints.count,
     hasRead: () => logReader.state.anchored,
@@ -261,6 +270,7 @@
     logReader: watcher,
     contacts: store,
     withdrawals: store,
+    rollouts: store,
     refreshMs: retention / CONTACT_RENEWALS_PER_RETENTION,
     checkpointsWritten: () => 0,
     hasRead: () => watcher.hasRead,
@@ -294,14 +304,63 @@
 
 type ConfigurationComponents = ReturnType<typeof wireConfiguration>;
 
+/** Creates the rollouts, which take their orders from the store or from the configuration in force. */
+function wireRollouts(
+  { settingsHolder, settings, resources, clock, random, logger }: Core,
+  members: MemberTable,
+  { versions, heads, source }: ConfigurationComponents,
+): Rollouts {
+  const log = logger('rollout');
+  const reachable = () =>
+    members
+      .live()
+      .filter(({ health }) => health === 'alive')
+      .map(({ id }) => id);
+  const rollouts = resources.add(
+    new Rollouts({
+      daemon: settings.daemon.name,
+      run: random.below(RUN_BOUND),
+      limits: () => settingsHolder.current.rollouts,
+      upstreams: (service) => members.upstreams(service),
+      members: () => members.live().map(({ id }) => id),
+      isStoreCurrent: () => {
+        const { confirmedAt } = heads.knowledge;
+        return confirmedAt !== undefined && clock.now() - confirmedAt <= settings.log.stale;
+      },
+      hasStore: source.rollouts !== undefined,
+      clock,
+      logger: log,
+    }),
+  );
+  let isStarting = true;
+  versions.onActivate(({ head, configuration: { rollouts: orders } }) => {
+    for (const order of orders.values()) {
+      const known = rollouts.get(order.service)?.order;
+      const isSame = known?.version === order.version && known.durationMs === order.durationMs;
+      if (!isSame) rollouts.order({ ...order, number: head.version }, !isStarting);
+    }
+    isStarting = false;
+  });
+  const { rollouts: store } = source;
+  if (!store) return rollouts;
+  store.onOrders((readings) => {
+    for (const { order, isNew } of readings) rollouts.order(order, isNew);
+  });
+  resources.add(
+    new RolloutRecorder(rollouts, store, settings.daemon.name, reachable, clock, random, log),
+  );
+  return rollouts;
+}
+
 /** Creates the links to other daemons and the discovery of the first peers. */
 function wirePeers(
   core: Core,
   members: MemberTable,
   { heads, source, doubt, proof }: ConfigurationComponents,
+  rollouts: Rollouts,
 ) {
   const { settings, resources, clock, random, meter, logger } = core;
-  const gossip = resources.add(new Gossip(members, heads, clock, logger('peer')));
+  const gossip = resources.add(new Gossip(members, heads, clock, logger('peer'), rollouts));
   const fetchLease = new FetchLease(clock);
   const peerClient = new PeerClient(meter);
   const heartbeatIntervalMs = settings.peers.heartbeat;
@@ -339,6 +398,7 @@
   members: MemberTable,
   { versions, source }: ConfigurationComponents,
   { peerClient, overlay, recall }: PeerComponents,
+  rollouts: Rollouts,
 ) {
   const { settings, resources, clock, random, names, lag, logger } = core;
   const attempts = new AttemptRegistry(DEFAULT_REGISTRY_OPTIONS, clock);
@@ -372,11 +432,11 @@
     clock,
     logger('zones'),
   );
-  const balancer = new ForecastBalancer(members, liveness, zone, overflow, clock, random);
+  const forecast = new ForecastBalancer(members, liveness, zone, overflow, clock, random);
   const registration = resources.add(
     new UpstreamRegistration({
       members,
-      relay: (service) => balancer.relay(service),
+      relay: (service) => forecast.relay(service),
       recall,
       keeper: new WithdrawalKeeper(overlay, source.withdrawals, logger('upstream')),
       versions,
@@ -394,8 +454,16 @@
   );
   source.withdrawals?.onRecall((withdrawals) => registration.recall(withdrawals));
   source.withdrawals?.onRestore(() => registration.storeWithdrawalsAgain());
+  const balancer = new RolloutRouter(
+    forecast,
+    rollouts,
+    (service) => members.upstreams(service),
+    () => core.settingsHolder.current.rollouts.hold,
+    clock,
+    random,
+  );
   const sweepTimer = setInterval(() => {
-    balancer.forgetUnused();
+    forecast.forgetUnused();
     channels.closeIdle();
   }, IDLE_SWEEP_INTERVAL_MS).unref();
   resources.add({ dispose: () => clearInterval(sweepTimer) });
@@ -485,6 +553,7 @@
   readiness: Readiness,
   acceptDelays: AcceptDelays,
   listener: Listener,
+  rollouts: Rollouts,
 ) {
   const { daemon: own, calls } = settings;
   const retries = () => settingsHolder.current.retries;
@@ -520,6 +589,7 @@
     lagMs: () => lag.currentMs,
     waitedMs: () => lag.maxReadDelayMs,
     onAttempt: metrics.onAttempt,
+    onAttemptEnd: rollouts.record,
     onCallEnd: metrics.onCall,
     overloadGuard: new OverloadGuard(() => lag.currentMs, random),
     acceptedAfterMs: (socket) => acceptDelays.takeMaxDelayMs(socket),
@@ -573,8 +643,9 @@
 
   const members = wireMembers(core, addresses);
   const configuration = wireConfiguration(core, members);
-  const peers = wirePeers(core, members, configuration);
-  const upstreams = wireUpstreams(core, members, configuration, peers);
+  const rollouts = wireRollouts(core, members, configuration);
+  const peers = wirePeers(core, members, configuration, rollouts);
+  const upstreams = wireUpstreams(core, members, configuration, peers, rollouts);
   const metrics = wireMetrics(core, members, configuration, peers, upstreams);
   const quotas = wireQuotas(core, members, configuration, peers, metrics);
   const { versions, heads, source, proof } = configuration;
@@ -600,6 +671,7 @@
     readiness,
     acceptDelays,
     listeners.calls,
+    rollouts,
   );
   metrics.watchOpenCalls(() => calls.openCalls);
   applyListenerTimeouts(versions, listeners.calls);
@@ -650,6 +722,7 @@
     calls,
     attempts,
     registration,
+    rollouts,
     meter,
     configuration: () => versions.snapshot?.configuration,
     leftOut: () => versions.snapshot?.leftOut.length ?? 0,
