Show the age of the proof in the status line, and check logs for keys

Cause: the command status showed it in JSON only, and no test looked for keys in what daemons log.

Change: the line of each daemon has the age; the process test reads all lines.

--- a/src/command/fleetCommands.ts
+++ b/src/command/fleetCommands.ts
@@ -57,7 +57,9 @@
 function statusLine({ member, status }: MemberStatus, newest: number): string {
   if (!status) return `${member.id}  ${member.zone}  no answer (${member.health})`;
   const state = (status.version ?? -1) < newest ? `behind version ${newest}` : 'current';
-  const notes = [state, ...status.problems].join('; ');
+  // Older releases report no proof.
+  const proof = status.proofAgeMs == null ? [] : [`proof ${status.proofAgeMs} ms old`];
+  const notes = [state, ...proof, ...status.problems].join('; ');
   return `${member.id}  ${member.zone}  version ${status.version ?? 'none'}  ${status.digest?.slice(0, 12) ?? '-'}  ${notes}`;
 }
 
--- a/test/revokedKeys.test.ts
+++ b/test/revokedKeys.test.ts
@@ -47,6 +47,8 @@
   readonly daemons: readonly [DaemonProcess, DaemonProcess];
   readonly storePaths: readonly TcpProxy[];
   readonly peerPaths: readonly TcpProxy[];
+  /** Returns what all daemons have logged. */
+  readonly logged: () => string;
 }
 
 /** Runs a test on daemons that accept the key. */
@@ -87,8 +89,13 @@
         async () => (await callOutcome(daemon, 0, KEY)) === 'accepted',
       );
     }
+    const chunks: Buffer[] = [];
+    for (const { child } of daemons) {
+      child.stdout!.on('data', (chunk: Buffer) => chunks.push(chunk));
+    }
     const [first, second] = daemons as [DaemonProcess, DaemonProcess];
-    await run({ store, daemons: [first, second], storePaths, peerPaths });
+    const mesh = { store, daemons: [first, second] as const, storePaths, peerPaths };
+    await run({ ...mesh, logged: () => Buffer.concat(chunks).toString() });
   } finally {
     await fleet.dispose();
     for (const path of [...storePaths, ...peerPaths]) path.dispose();
@@ -113,7 +120,7 @@
 
 // Guards against a daemon that is cut off and goes on accepting a key that was removed.
 scenario('a daemon that is cut off refuses keys after the bound and serves public routes', () =>
-  withMesh(async ({ store, daemons: [cutOff, other], storePaths, peerPaths }) => {
+  withMesh(async ({ store, daemons: [cutOff, other], storePaths, peerPaths, logged }) => {
     assert.is(await callOutcome(cutOff, 0, 'another'), '401');
     assert.is(await callOutcome(cutOff, 0), '401');
     // Without the store, its proofs come from the other daemon.
@@ -131,7 +138,8 @@
     const answer = await fetch(`http://${cutOff.ready.listening.control}/dump`);
     const dump = await answer.text();
     assert.match(dump, 'refuses keys');
-    assert.not.match(dump, KEY);
+    assert.match(logged(), 'Refuses keys');
+    assert.not.match(`${dump}${logged()}`, KEY);
   }),
 );
 
