Move calls away from an upstream that has fallen silent

Cause: an upstream never answers what it can't queue, and a frozen one answers nothing. Calls that waited for its slots stayed there until their objective or deadline had passed, though other upstreams had room.

Change: when each slot holds a call for three times its expected duration and 250 ms at least, waiting and arriving calls are refused as not run if the service has other upstreams, so that their daemons send them there without drawing on the retry budget. Other daemons learn of the silence as lag.

--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -404,6 +404,7 @@
       logger,
       onUnreachable: () => this.markUnreachable(registered.announcement.instance),
       zoneOf: (daemon) => this.services.members.get(daemon)?.zone,
+      hasOthers: () => this.services.members.upstreams(registered.announcement.service).length > 1,
       relay: () => this.services.relay?.(registered.announcement.service),
     });
   }
--- a/src/request/AdmissionController.ts
+++ b/src/request/AdmissionController.ts
@@ -13,6 +13,15 @@
 const OVERDUE_FACTOR = 5;
 /** Minimum run time, in milliseconds, before a call counts as overdue and its slot is reused. */
 const MIN_OVERDUE_MS = 800;
+/**
+ * An upstream counts as silent when each of its slots holds a call that has run for this multiple of its
+ * expected duration; upstreams that are slow for a while run 2.5 times slower.
+ */
+const SILENT_FACTOR = 3;
+/** Minimum run time of all running calls, in milliseconds, before the upstream counts as silent. */
+const MIN_SILENT_MS = 250;
+/** Why a call isn't left to wait at a silent upstream. */
+const SILENT_REASON = 'the upstream has fallen silent';
 /**
  * A queued call that can't meet its latency objective is refused after this multiple of the wait
  * that was predicted when it was queued.
@@ -99,6 +108,8 @@
 interface RunningCall {
   readonly startedAt: number;
   readonly overdueAt: number;
+  /** Monotonic time in ms from which the call is evidence that the upstream is silent. */
+  readonly silentAt: number;
 }
 
 /**
@@ -118,6 +129,9 @@
  * would miss its deadline is refused on arrival, or as soon as later arrivals with precedence make
  * it miss the deadline.
  *
+ * While the upstream is silent, calls aren't left to wait where the service has other upstreams: they are
+ * refused as not run, so that their daemons send them elsewhere.
+ *
  * An upstream may never respond to calls that it can't queue itself, so it is not sent more calls
  * than it has slots. The exception is long overdue calls, whose responses are probably lost: their
  * slots are reused.
@@ -139,11 +153,13 @@
    * @param limits - Slots, queue length and warm-up time.
    * @param clock - Monotonic clock.
    * @param servingSince - Monotonic time in ms at which the upstream started to serve.
+   * @param hasOthers - Whether the service has other upstreams, to which calls can move.
    */
   public constructor(
     limits: UpstreamLimits,
     private readonly clock: Clock,
     private readonly servingSince: number,
+    private readonly hasOthers: () => boolean = () => false,
   ) {
     this.limits = limits;
   }
@@ -174,6 +190,17 @@
     return this.queue.length === 0 && this.occupiedSlots() < this.availableSlots();
   }
 
+  /**
+   * Time in ms for which the upstream has been silent: since each of its slots holds a call that should
+   * have ended long ago; 0 while it isn't silent.
+   */
+  public get silentMs(): number {
+    if (this.runningCalls.size < this.availableSlots()) return 0;
+    let since = 0;
+    for (const { silentAt } of this.runningCalls) since = Math.max(since, silentAt);
+    return Math.max(0, this.clock.now() - since);
+  }
+
   /** Load of the upstream, by which other daemons choose upstreams for their calls. */
   public get slotLoad(): SlotLoad {
     const slots = this.availableSlots();
@@ -259,7 +286,13 @@
     // The expected duration is 0 before the first call has ended; no call counts as overdue then.
     const overdueMs =
       expectedMs > 0 ? Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs) : Infinity;
-    const running: RunningCall = { startedAt, overdueAt: startedAt + overdueMs };
+    const silentMs =
+      expectedMs > 0 ? Math.max(MIN_SILENT_MS, SILENT_FACTOR * expectedMs) : Infinity;
+    const running: RunningCall = {
+      startedAt,
+      overdueAt: startedAt + overdueMs,
+      silentAt: startedAt + silentMs,
+    };
     this.runningCalls.add(running);
     this.servedShares.record(request.route, true);
     return (used = true) => {
@@ -276,6 +309,7 @@
    */
   private grantFreeSlots(): void {
     this.refuseExpired();
+    if (this.queue.length > 0 && this.isLeftBehind()) this.refuseQueued(SILENT_REASON);
     while (this.queue.length > 0 && this.occupiedSlots() < this.availableSlots()) {
       const next = this.firstInOrder();
       this.removeFromQueue(next);
@@ -312,6 +346,7 @@
 
   /** Why an arriving call is refused; `undefined` if it may be queued. */
   private refusalReason(request: AdmissionRequest, durationMs: number): string | undefined {
+    if (this.isLeftBehind()) return SILENT_REASON;
     const now = this.clock.now();
     const arrival: Candidate = { request, durationMs };
     const ahead = this.queue.filter((entry) => !this.precedes(arrival, entry, now));
@@ -326,6 +361,11 @@
     return undefined;
   }
 
+  /** Whether calls are better off at other upstreams, as this one is silent. */
+  private isLeftBehind(): boolean {
+    return this.silentMs > 0 && this.hasOthers();
+  }
+
   private expectedDurationMs({ route, objective }: AdmissionRequest): number {
     const now = this.clock.now();
     return this.serviceTimes.expectedMs(route, objective - now, now);
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -72,6 +72,8 @@
   readonly onUnreachable: () => void;
   /** Returns the zone of a daemon; without it, arrivals aren't reported by zone. */
   readonly zoneOf?: (daemon: DaemonId) => ZoneName | undefined;
+  /** Whether the service has other upstreams; without it, calls wait here though the upstream is silent. */
+  readonly hasOthers?: () => boolean;
   /** Returns a report on another upstream of the service, to be passed on with the load. */
   readonly relay?: () => RelayedReport | undefined;
 }
@@ -121,7 +123,7 @@
     this.origin = `http://${address}`;
     this.connections = services.connect();
     this.matcher = new AnswerMatcher(services.names);
-    this.admission = new AdmissionController(limits, clock, clock.now());
+    this.admission = new AdmissionController(limits, clock, clock.now(), services.hasOthers);
   }
 
   /** Running and queued calls as a ratio of the slots. */
@@ -143,7 +145,8 @@
       ...this.admission.slotLoad,
       durationMs: this.admission.durationMs(route),
       failureShare: this.failureShare,
-      lagMs: this.services.lagMs(),
+      // Other daemons add the lag to the expected duration, and forget it within two seconds.
+      lagMs: this.services.lagMs() + this.admission.silentMs,
       meanMs: this.admission.meanDurationMs,
       arrivals: this.arrivals.report(this.services.clock.now()),
       relayed: this.services.relay?.(),
