Let calls wait at a silent upstream once they were refused elsewhere

Cause: a second refusal ends a call. Where all upstreams are slow at once, as on a saturated machine, every waiting call would have been refused twice.

Change: only first attempts are moved away from a silent upstream.

Result: a test for it; the tests of admission and the local upstream pass.

--- a/src/request/AdmissionController.silent.test.ts
+++ b/src/request/AdmissionController.silent.test.ts
@@ -9,7 +9,7 @@
 const NEVER = new AbortController().signal;
 
 /** Results of calls that wait or arrive while both slots hold calls for `heldMs`. */
-async function resultsAfter(heldMs: number, hasOthers: boolean): Promise<string[]> {
+async function resultsAfter(heldMs: number, hasOthers: boolean, attempts = 1): Promise<string[]> {
   const clock = new ManualClock();
   const admission = new AdmissionController(LIMITS, clock, 0, () => hasOthers);
   const request = {
@@ -17,6 +17,7 @@
     priority: 0,
     deadline: 60_000,
     objective: 60_000,
+    attempts,
   };
   const results: string[] = [];
   const acquire = (name: string) =>
@@ -53,4 +54,8 @@
   assert.equal(await resultsAfter(350, false), []);
 });
 
+test('a call that was refused elsewhere waits, as a second refusal would end it', async () => {
+  assert.equal(await resultsAfter(350, true, 2), []);
+});
+
 test.run();
--- a/src/request/AdmissionController.ts
+++ b/src/request/AdmissionController.ts
@@ -80,6 +80,8 @@
   readonly deadline: number;
   /** End of the latency objective: a response until then is as useful as an immediate one. */
   readonly objective: number;
+  /** Number of attempts made for the call, with this one; 1 if it isn't given. */
+  readonly attempts?: number;
 }
 
 /** Load of an upstream as its daemon reports it to other daemons. */
@@ -129,8 +131,8 @@
  * would miss its deadline is refused on arrival, or as soon as later arrivals with precedence make
  * it miss the deadline.
  *
- * While the upstream is silent, calls aren't left to wait where the service has other upstreams: they are
- * refused as not run, so that their daemons send them elsewhere.
+ * While the upstream is silent, first attempts aren't left to wait where the service has other upstreams: they
+ * are refused as not run, so that their daemons send them elsewhere.
  *
  * An upstream may never respond to calls that it can't queue itself, so it is not sent more calls
  * than it has slots. The exception is long overdue calls, whose responses are probably lost: their
@@ -309,7 +311,7 @@
    */
   private grantFreeSlots(): void {
     this.refuseExpired();
-    if (this.queue.length > 0 && this.isLeftBehind()) this.refuseQueued(SILENT_REASON);
+    this.refuseMovable();
     while (this.queue.length > 0 && this.occupiedSlots() < this.availableSlots()) {
       const next = this.firstInOrder();
       this.removeFromQueue(next);
@@ -346,7 +348,7 @@
 
   /** Why an arriving call is refused; `undefined` if it may be queued. */
   private refusalReason(request: AdmissionRequest, durationMs: number): string | undefined {
-    if (this.isLeftBehind()) return SILENT_REASON;
+    if (this.shouldMove(request)) return SILENT_REASON;
     const now = this.clock.now();
     const arrival: Candidate = { request, durationMs };
     const ahead = this.queue.filter((entry) => !this.precedes(arrival, entry, now));
@@ -361,9 +363,12 @@
     return undefined;
   }
 
-  /** Whether calls are better off at other upstreams, as this one is silent. */
-  private isLeftBehind(): boolean {
-    return this.silentMs > 0 && this.hasOthers();
+  /**
+   * Whether a call is better off at another upstream, as this one is silent. A call that was sent elsewhere
+   * before waits here: a second refusal would be final, also where all upstreams are slow at once.
+   */
+  private shouldMove({ attempts = 1 }: AdmissionRequest): boolean {
+    return attempts <= 1 && this.silentMs > 0 && this.hasOthers();
   }
 
   private expectedDurationMs({ route, objective }: AdmissionRequest): number {
@@ -396,6 +401,14 @@
     }
   }
 
+  /** Refuses queued calls that are better off at another upstream. */
+  private refuseMovable(): void {
+    for (const entry of this.queue.filter(({ request }) => this.shouldMove(request))) {
+      this.removeFromQueue(entry);
+      entry.refuse(SILENT_REASON);
+    }
+  }
+
   /** Refuses the calls that are last in order while the queue exceeds its limit. */
   private evictOverflow(): void {
     const now = this.clock.now();
