Derive the costs of late and failed calls from what callers lose

Cause: the cost of a late response was taken from a price sheet.

Change: a late response counts as lost (1 instead of 0.7), as the configuration states no use of it after the objective; a failure as the call and another one that lacks its retry and slot (2 instead of 1.5). The exception from a zone's share stays at a sixth of failing calls.

The tests of balancer and zones pass (13).

--- a/src/request/ForecastBalancer.ts
+++ b/src/request/ForecastBalancer.ts
@@ -20,10 +20,10 @@
 /** Weight of the newest response in the moving average of a route's latency at all upstreams. */
 const SERVICE_LATENCY_WEIGHT = 0.05;
 /**
- * Cost of a response that misses the latency objective: the users' price sheets deduct 0.7 of what
- * a response in time is worth.
+ * Cost of a response that misses the latency objective: all of its value, as the configuration states
+ * no time after the objective at which a response is still of use.
  */
-const LATE_COST = 0.7;
+const LATE_COST = 1;
 /**
  * Steepness of the curve that models the share of late responses as a function of the expected time
  * divided by the latency objective; 4.25 fits durations with a relative spread of 0.4.
@@ -38,7 +38,7 @@
  * Difference of the harm to one call, in value, from which it goes to another zone than its share has
  * it: where the upstreams of a zone fail a sixth of their calls or make them late.
  */
-const EXCEPTION_MARGIN = 0.25;
+const EXCEPTION_MARGIN = 1 / 3;
 /**
  * Cost of the delay that a call causes to others, for each call that is expected to queue at the
  * upstream, as a ratio of its slots. Below 1, daemons crowd on the fastest upstreams at 80 % use.
@@ -50,10 +50,10 @@
  */
 const TIME_COST = 0.02;
 /**
- * Cost of choosing an upstream where the call is certain to fail; above 1, as a retry also draws on
- * the shared retry budget.
+ * Cost of choosing an upstream where the call is certain to fail: the value of the call, and that of
+ * another which lacks the retry and the slot that this one then takes.
  */
-const FAILURE_COST = 1.5;
+const FAILURE_COST = 2;
 /**
  * Upper bound of the random cost added to each candidate upstream, so that daemons with the same
  * information don't all choose the same one.
