--- a/src/connection/QuotaExchange.ts
+++ b/src/connection/QuotaExchange.ts
@@ -26,12 +26,12 @@
 /** Time after which an unused connection to an owner is closed, in milliseconds. */
 const IDLE_CONNECTION_MS = 30_000;
 /**
- * Time after its start at which a daemon may lend its part of the rate, in milliseconds; what its earlier process lent
+ * Time after the start of its process at which a daemon may lend its part of the rate, in milliseconds; what its earlier process lent
  * has nearly ended by then.
  */
-const START_MS = 2_000;
+const START_MS = 2_500;
 /** Time without new members, in ms, after which a daemon that started lately knows all it can learn of. */
-const STEADY_MS = 1_500;
+const STEADY_MS = 750;
 /** Time after its start in which new members delay the lending, in milliseconds. */
 const LEARNING_MS = 15_000;
 /** Minimum time in milliseconds between two log lines about the same organisation. */
@@ -183,7 +183,8 @@
     const { clock, hasContacts, aloneMs } = this.services;
     const now = clock.now();
     const ageMs = now - this.startedAt;
-    if (ageMs < START_MS) return false;
+    // The monotonic clock starts with the process, a second or more before this object on a small VM.
+    if (now < START_MS) return false;
     if (this.known === 1 && hasContacts() && ageMs < aloneMs) return false;
     return this.grewAt - this.startedAt > LEARNING_MS || now - this.grewAt >= STEADY_MS;
   }
