--- a/src/connection/QuotaExchange.ts
+++ b/src/connection/QuotaExchange.ts
@@ -26,7 +26,8 @@
 /** Time after which an unused connection to an owner is closed, in milliseconds. */
 const IDLE_CONNECTION_MS = 30_000;
 /**
- * Time after the start of its process at which a daemon may lend its part of the rate, in milliseconds; what its earlier process lent
+ * Time after the start of its process at which a daemon may lend its part of the rate, in milliseconds; what its
+ * earlier process lent
  * has nearly ended by then.
  */
 const START_MS = 2_500;
