--- a/src/process/DaemonMetrics.ts
+++ b/src/process/DaemonMetrics.ts
@@ -1,4 +1,5 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { RolloutState } from '../rollout/Rollout';
 import type { CallReport } from '../request/CallHandler';
 
 /** Upper bounds of the buckets of the call duration histogram, in seconds. */
@@ -122,6 +123,39 @@
     this.gauge(['calls_open', 'Calls that have not ended.'], read);
   }
 
+  /**
+   * Adds the gauges of rollouts. Their labels are bounded by the number of services with orders.
+   *
+   * @param read - Returns the state of all rollouts.
+   */
+  public watchRollouts(read: () => readonly RolloutState[]): void {
+    const labels = (states: RolloutState) => ({ service: states.service, version: states.version });
+    const share: Gauge<'service' | 'version'> = new Gauge({
+      name: 'azurestream_rollout_share',
+      help: 'Share of the calls of a service that its ordered version gets.',
+      labelNames: ['service', 'version'],
+      registers: [this.registry],
+      collect: () => {
+        share.reset();
+        for (const state of read()) share.set(labels(state), state.share);
+      },
+    });
+    const responses: Gauge<'service' | 'version' | 'result'> = new Gauge({
+      name: 'azurestream_rollout_responses',
+      help: 'Responses of the ordered version at all daemons that are known here, and the bad ones.',
+      labelNames: ['service', 'version', 'result'],
+      registers: [this.registry],
+      collect: () => {
+        responses.reset();
+        for (const state of read()) {
+          const { target, bad } = state.responses;
+          responses.set({ ...labels(state), result: 'all' }, target);
+          responses.set({ ...labels(state), result: 'bad' }, bad);
+        }
+      },
+    });
+  }
+
   /** @param report - Outcome and duration of a call that has ended. */
   public readonly onCall = (report: CallReport): void => {
     this.calls.inc({ outcome: report.outcome });
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -600,6 +600,7 @@
     rollouts,
   );
   metrics.watchOpenCalls(() => calls.openCalls);
+  metrics.watchRollouts(() => rollouts.states);
   applyListenerTimeouts(versions, listeners.calls);
   servePlatform(core, listeners, readiness, registration);
 
--- a/src/rollout/Rollout.ts
+++ b/src/rollout/Rollout.ts
@@ -1,4 +1,4 @@
-import type { Clock, DaemonId, Logger, SoftwareVersion } from '../common/Types';
+import type { Clock, DaemonId, Logger, ServiceName, SoftwareVersion } from '../common/Types';
 import type { AttemptEnd, Upstream } from '../request/Types';
 import { bucketOf, BROKEN, FAILED, meanMs, totalOf } from './counts';
 import EvidenceTable from './EvidenceTable';
@@ -12,8 +12,11 @@
 const FAILURE_STATUS = 500;
 /** Time for which all daemons must have sent everything to the target version, in milliseconds. */
 const FULL_FOR_MS = 1_000;
-/** Time before the deadline from which most of the daemons are enough, in milliseconds. */
-const LAST_CHANCE_MS = 900;
+/**
+ * Time before the deadline from which most of the daemons are enough, in milliseconds. The record may have to
+ * wait for the second or third daemon by rank.
+ */
+const LAST_CHANCE_MS = 2_500;
 /**
  * Age of an order in milliseconds from which a recorded verdict on its version is taken to be its own, even if
  * this daemon never heard of its record of state `running`; such a record is written within a second.
@@ -34,6 +37,12 @@
   readonly upstreams: readonly Upstream[];
   /** Ids of the daemons that are known and haven't left. */
   readonly members: readonly DaemonId[];
+  /**
+   * @param service - Name of the service.
+   * @param version - Ordered version.
+   * @returns Number of calls of this daemon that are open at upstreams of other versions.
+   */
+  readonly openElsewhere: (service: ServiceName, version: SoftwareVersion) => number;
   /** Time after which a daemon that hasn't reported counts as out of reach, in milliseconds. */
   readonly reportTimeoutMs: number;
   /** Whether the store was read a short time ago, by any daemon. */
@@ -217,16 +226,6 @@
     return version === this.order.version ? 'target' : 'old';
   }
 
-  /** @param side - Version of an upstream to which a call is about to be sent. */
-  public begin(side: Side): void {
-    if (side === 'old') this.openOld += 1;
-  }
-
-  /** @param side - Version of an upstream at which a call has ended. */
-  public end(side: Side): void {
-    if (side === 'old') this.openOld = Math.max(0, this.openOld - 1);
-  }
-
   /**
    * Counts how an attempt of this daemon ended.
    *
@@ -310,6 +309,7 @@
   public advance(surroundings: RolloutSurroundings): boolean {
     if (!this.isRunning || this.stopReason !== undefined) return false;
     this.evidence.advance();
+    this.openOld = surroundings.openElsewhere(this.order.service, this.order.version);
     const target = surroundings.upstreams.filter(
       ({ version }) => this.sideOf(version) === 'target',
     );
--- a/src/rollout/RolloutRouter.ts
+++ b/src/rollout/RolloutRouter.ts
@@ -49,7 +49,7 @@
    */
   public constructor(
     private readonly inner: Balancer,
-    private readonly rollouts: Pick<Rollouts, 'get'>,
+    private readonly rollouts: Pick<Rollouts, 'get' | 'begin' | 'end'>,
     private readonly upstreams: (service: ServiceName) => readonly Upstream[],
     private readonly holdMs: () => number | undefined,
     private readonly clock: Clock,
@@ -78,14 +78,12 @@
   }
 
   public begin(upstream: Upstream): void {
-    const rollout = this.rollouts.get(upstream.service);
-    rollout?.begin(rollout.sideOf(upstream.version));
+    this.rollouts.begin(upstream);
     this.inner.begin(upstream);
   }
 
   public end(upstream: Upstream, route: RouteName, result: AttemptResult): void {
-    const rollout = this.rollouts.get(upstream.service);
-    rollout?.end(rollout.sideOf(upstream.version));
+    this.rollouts.end(upstream);
     this.inner.end(upstream, route, result);
   }
 
--- a/src/rollout/RolloutSchedule.ts
+++ b/src/rollout/RolloutSchedule.ts
@@ -29,7 +29,7 @@
 const MARGIN_MS = 2_000;
 const MAX_MARGIN_FRACTION = 0.1;
 /** Time at the full share before the verdict: reports of all daemons and one second, in milliseconds. */
-const FULL_MS = 2_500;
+const FULL_MS = 3_000;
 /** Shortest time at a step when the rollout is late, in milliseconds. */
 const MIN_STEP_MS = 600;
 /** Responses at a step of growth after which the next may follow, if so many calls are expected at all. */
@@ -38,7 +38,7 @@
  * Responses of all versions below which a version may grow without having proved itself: even a bad one is found
  * within the slack.
  */
-const SCARCE_RESPONSES = 150;
+const SCARCE_RESPONSES = 100;
 /** Responses after which a trial goes from its first step to the next one. */
 const MIN_FIRST_RESPONSES = 5;
 
@@ -104,10 +104,12 @@
     if (obstacle !== undefined) return obstacle;
     if (finding.outcome === 'bad' || finding.outcome === 'suspect') return finding.reason;
     if (next === STEP_FIRST) return undefined;
+    const { startMs, stepMs } = RolloutSchedule.growth(situation);
     if (next === STEP_TRIAL) {
-      return targetResponses < MIN_FIRST_RESPONSES ? 'few responses yet' : undefined;
+      const isScarce = elapsedMs >= startMs && situation.allResponses < SCARCE_RESPONSES;
+      const hasResponses = targetResponses >= MIN_FIRST_RESPONSES || isScarce;
+      return hasResponses ? undefined : 'few responses yet';
     }
-    const { startMs, stepMs } = RolloutSchedule.growth(situation);
     if (elapsedMs < startMs + (next - STEP_TRIAL - 1) * stepMs) return 'monitored until it is due';
     if (sinceStepMs < Math.min(stepMs, MIN_STEP_MS)) return 'the step has just begun';
     const hasSlots = situation.capacityShare >= GROWTH_SHARES[next]!;
--- a/src/rollout/Rollouts.ts
+++ b/src/rollout/Rollouts.ts
@@ -64,6 +64,9 @@
 
   private readonly known = new Map<DaemonId, Map<ServiceName, PeerKnowledge>>();
 
+  /** Open calls of this daemon, by service and version. */
+  private readonly openCalls = new Map<string, number>();
+
   private readonly newsEmitter = new Emitter<void>();
 
   private readonly tickEmitter = new Emitter<void>();
@@ -111,6 +114,7 @@
     return {
       members: members(),
       reportTimeoutMs: REPORTS_BEFORE_LOSS * this.reportIntervalMs,
+      openElsewhere: (service, version) => this.openElsewhere(service, version),
       isStoreCurrent: isStoreCurrent(),
       hasStore,
     };
@@ -151,6 +155,20 @@
     this.newsEmitter.fire();
   }
 
+  /** @param upstream - Where a call is about to be sent. */
+  public begin({ service, version = '' as SoftwareVersion }: Upstream): void {
+    const key = `${service} ${version}`;
+    this.openCalls.set(key, (this.openCalls.get(key) ?? 0) + 1);
+  }
+
+  /** @param upstream - Where a call has ended. */
+  public end({ service, version = '' as SoftwareVersion }: Upstream): void {
+    const key = `${service} ${version}`;
+    const open = (this.openCalls.get(key) ?? 1) - 1;
+    if (open === 0) this.openCalls.delete(key);
+    else this.openCalls.set(key, open);
+  }
+
   /**
    * Counts how an attempt ended.
    *
@@ -262,6 +280,14 @@
     if (isUrgent || this.hasNews || isReportUrgent) this.announce();
   }
 
+  private openElsewhere(service: ServiceName, version: SoftwareVersion): number {
+    let sum = 0;
+    for (const [key, count] of this.openCalls) {
+      if (key.startsWith(`${service} `) && key !== `${service} ${version}`) sum += count;
+    }
+    return sum;
+  }
+
   private get reportIntervalMs(): number {
     return REPORT_INTERVAL_MS + REPORT_INTERVAL_PER_MEMBER_MS * this.dependencies.members().length;
   }
--- a/src/rollout/VersionComparison.ts
+++ b/src/rollout/VersionComparison.ts
@@ -16,11 +16,17 @@
  */
 const BAD_RATIO = 8;
 /** Ratio from which a version is suspected, so that its share doesn't grow. */
-const SUSPECT_RATIO = 3;
-/** Ratio below which a version counts as good; by Wald, one in twenty bad versions gets there. */
-const GOOD_RATIO = -3;
-/** Ratio of a single route above which a version doesn't count as good yet. */
-const MAX_ROUTE_RATIO = 0.5;
+const SUSPECT_RATIO = 2.2;
+/**
+ * Ratio below which a version counts as good; by Wald, one in seven bad versions gets there, which
+ * growth then finds.
+ */
+const GOOD_RATIO = -2;
+/**
+ * Ratios of a single route above which a version doesn't count as good yet: after a failure, until some ten
+ * responses are fine; after two slow responses.
+ */
+const MAX_ROUTE_RATIOS = { failed: 0.3, slow: 1.6 };
 /** Fewest bad responses that make a version bad. */
 const MIN_BAD = 4;
 /** Lowest assumed share of failures of a good version. */
@@ -28,7 +34,7 @@
 /** Difference of the share of failures between a bad version and a good one; half of the calls fail. */
 const FAILURE_DIFFERENCE = 0.3;
 /** Lowest assumed share of slow responses of a good version. */
-const MIN_SLOW_SHARE = 0.08;
+const MIN_SLOW_SHARE = 0.1;
 /** Difference of the share of slow responses between a bad version and a good one. */
 const SLOW_DIFFERENCE = 0.35;
 /** Highest share that a test assumes of a bad version. */
@@ -158,7 +164,7 @@
     let isGood = true;
     for (const [kind, name, sample] of samplesOf(ever, ever)) {
       const ratio = VersionComparison.ratio(kind, sample);
-      if (ratio > (name === ALL_ROUTES ? GOOD_RATIO : MAX_ROUTE_RATIO)) isGood = false;
+      if (ratio > (name === ALL_ROUTES ? GOOD_RATIO : MAX_ROUTE_RATIOS[kind])) isGood = false;
       if (name === ALL_ROUTES) total = Math.max(total, sample.total);
     }
     return { outcome: isGood ? 'good' : 'unknown', reason: `${total} responses, ${reason}` };
--- a/stand-in/replayRollout.ts
+++ b/stand-in/replayRollout.ts
@@ -88,6 +88,7 @@
   const surroundings = {
     upstreams,
     members: [DAEMON],
+    openElsewhere: () => 0,
     reportTimeoutMs: 10_000,
     isStoreCurrent: true,
     hasStore: true,
