--- a/src/connection/QuotaExchange.ts
+++ b/src/connection/QuotaExchange.ts
@@ -27,8 +27,7 @@
 const IDLE_CONNECTION_MS = 30_000;
 /**
  * Time after the start of its process at which a daemon may lend its part of the rate, in milliseconds; what its
- * earlier process lent
- * has nearly ended by then.
+ * earlier process lent has nearly ended by then.
  */
 const START_MS = 2_500;
 /** Time without new members, in ms, after which a daemon that started lately knows all it can learn of. */
