Let charges for inner calls use the reserve of the retry budget first

Its upstreams are never idle, so that calls of ordinary callers are taken for inner ones and charged (read; which part does it isn't isolated). Change: own retries stay within 0.7 of the share as before these charges; together with the charges they may reach 0.85.

--- a/src/request/RetryBudget.ts
+++ b/src/request/RetryBudget.ts
@@ -4,12 +4,17 @@
 /** Number of equal intervals into which the sliding window of the retry budget is divided. */
 const INTERVALS = 20;
 /**
- * Fraction of the allowed retries that a daemon makes use of. The rest is a reserve: charges for inner
+ * Fraction of the allowed retries that a daemon makes itself. The rest is a reserve: charges for inner
  * calls are estimates and fall on some daemons only, while the others use their share in full.
  */
 const USABLE_FRACTION = 0.7;
 /**
- * The same for a slack that all daemons share. Before a service has many calls, the retries within the
+ * Fraction that its own retries and the charges for inner calls may reach together. Charges use the reserve
+ * first, as an upstream at full load is never idle, so that ordinary callers are taken for inner ones.
+ */
+const USABLE_WITH_CHARGES = 0.85;
+/**
+ * Fraction of a slack that all daemons share of which a daemon makes use. Before a service has many calls, the retries within the
  * slack of one service cause up to two inner calls each at another service, which has a slack of its
  * own to use. At 0.7, 5 of 100 fleets exceeded the bound in the first seconds, by up to 23 %.
  */
@@ -40,7 +45,7 @@
  * would retry every failed call and double the load that caused the failures.
  */
 export default class RetryBudget {
-  private readonly counts: SlidingCounts<'call' | 'retry'>;
+  private readonly counts: SlidingCounts<'call' | 'retry' | 'charge'>;
 
   private share = 0;
 
@@ -67,7 +72,7 @@
    * @param probability - Probability that it is one, 0 to 1.
    */
   public chargeRepeat(probability: number): void {
-    if (probability > 0) this.counts.add('retry', probability);
+    if (probability > 0) this.counts.add('charge', probability);
   }
 
   /**
@@ -78,7 +83,7 @@
    */
   public retract(probability: number): void {
     this.counts.add('call', -1);
-    if (probability > 0) this.counts.add('retry', -probability);
+    if (probability > 0) this.counts.add('charge', -probability);
   }
 
   /** @returns Whether a retry or hedge is within the budget; if so, it is recorded as made. */
@@ -87,8 +92,10 @@
     const retries = this.counts.total('retry');
     const { slack, isShared } = this.allowance;
     const usableSlack = (isShared() ? USABLE_SHARED_SLACK : USABLE_FRACTION) * slack();
-    const allowed = USABLE_FRACTION * this.share * calls + usableSlack;
-    if (retries + 1 > allowed) return false;
+    const share = this.share * calls;
+    if (retries + 1 > USABLE_FRACTION * share + usableSlack) return false;
+    const charges = this.counts.total('charge');
+    if (retries + charges + 1 > USABLE_WITH_CHARGES * share + usableSlack) return false;
     this.counts.add('retry');
     return true;
   }
