--- a/src/request/RetryBudget.ts
+++ b/src/request/RetryBudget.ts
@@ -14,9 +14,9 @@
  */
 const USABLE_WITH_CHARGES = 0.85;
 /**
- * Fraction of a slack that all daemons share of which a daemon makes use. Before a service has many calls, the retries within the
- * slack of one service cause up to two inner calls each at another service, which has a slack of its
- * own to use. At 0.7, 5 of 100 fleets exceeded the bound in the first seconds, by up to 23 %.
+ * Fraction of a slack that all daemons share of which a daemon makes use. Before a service has many calls, the
+ * retries within the slack of one service cause up to two inner calls each at another service, which has a
+ * slack of its own to use. At 0.7, 5 of 100 fleets exceeded the bound in the first seconds, by up to 23 %.
  */
 const USABLE_SHARED_SLACK = 0.5;
 
