--- a/src/rollout/RolloutRouter.test.ts
+++ b/src/rollout/RolloutRouter.test.ts
@@ -68,4 +68,24 @@
   assert.is(createRouter({ v2: 9_000 }, undefined, 3_000).choose(CRITERIA)?.version, 'v2');
 });
 
+// Guards against a router that leaves the balancer without a measurement, such as the bytes of a route.
+test('what is measured reaches the balancer', () => {
+  const bytes: number[] = [];
+  const inner = {
+    recordBytes: (_service: ServiceName, _route: RouteName, count: number) => bytes.push(count),
+  } as unknown as Balancer;
+  const rollouts = { get: () => undefined, begin: () => {}, end: () => {} };
+  const clock = new ManualClock();
+  const router = new RolloutRouter(
+    inner,
+    rollouts,
+    () => [],
+    () => undefined,
+    clock,
+    new SeededRandom(1),
+  );
+  router.recordBytes(CRITERIA.service, CRITERIA.route, 90_000);
+  assert.equal(bytes, [90_000]);
+});
+
 test.run();
--- a/src/rollout/RolloutRouter.ts
+++ b/src/rollout/RolloutRouter.ts
@@ -95,6 +95,10 @@
     return this.inner.reportedLoad(upstream);
   }
 
+  public recordBytes(service: ServiceName, route: RouteName, bytes: number): void {
+    this.inner.recordBytes?.(service, route, bytes);
+  }
+
   private chooseExcluding(
     placement: PlacementCriteria,
     daemons: ReadonlySet<DaemonId>,
