Serve repeated logic by one piece of code

The digest of a key, the interval and share at which proofs of freshness are read, and the schema of a priority stood in two places each. Two comments named a bound that isn't there. Behaviour and bounds are as before.

--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -7,6 +7,7 @@
 import { applyChanges, digestSteps, folderChanges } from '../version/folder';
 import type { Head } from '../version/Types';
 import type FreshnessProof from './FreshnessProof';
+import { PROOF_READ_INTERVAL_MS, PROOF_READ_SHARE } from './FreshnessProof';
 import LogError from './LogError';
 import LogExpiredError from './LogExpiredError';
 import LogTimeoutError from './LogTimeoutError';
@@ -34,15 +35,11 @@
 const FAILURES_BEFORE_HANDOVER = 2;
 /** Shortest time between two reads on behalf of readers that lost the store, in milliseconds. */
 const MIN_CATCH_UP_INTERVAL_MS = 2_000;
-/** Interval between two reads of a reader while keys are checked, in ms; such reads don't wait. */
-const PROOF_READ_INTERVAL_MS = 1_000;
 /**
  * Time after the store came back from a copy in which its operator may still write again what was lost, in ms;
  * a read proves nothing then.
  */
 const RESTORE_SETTLE_MS = 1_000;
-/** Share of the revocation bound from which on a daemon reads the store itself to get a younger proof. */
-const PROOF_READ_SHARE = 1 / 2;
 /**
  * Share of the revocation bound over which the daemons whose proofs get old begin to read, so that those
  * that read first can pass on their proofs.
--- a/src/connection/FreshnessProof.ts
+++ b/src/connection/FreshnessProof.ts
@@ -2,6 +2,10 @@
 import type { KeyProof } from '../request/Types';
 import type { Moment, VersionProof } from './Types';
 
+/** Interval between two reads of a reader while keys are checked, in ms; such reads don't wait. */
+export const PROOF_READ_INTERVAL_MS = 1_000;
+/** Share of the revocation bound from which on a daemon reads for itself to get a younger proof. */
+export const PROOF_READ_SHARE = 1 / 2;
 /** Maximum number of proofs for versions that aren't in force yet; those of the newest versions are kept. */
 const MAX_PENDING = 8;
 /** Largest share by which a VM's clock may run slow; NTP changes the rate of a clock by up to 500 ppm. */
@@ -81,7 +85,7 @@
    * @returns Whether keys are checked and the proof is older than this share of the bound.
    */
   public isOlderThan(share: number): boolean {
-    return this.options.hasOrganisations() && this.ageMs > this.options.boundMs * share;
+    return this.isNeeded && this.ageMs > this.boundMs * share;
   }
 
   /** Whether keys are checked, so that the proof has to be kept young. */
--- a/src/connection/LogTailer.ts
+++ b/src/connection/LogTailer.ts
@@ -5,6 +5,7 @@
 import { SCHEMA_NUMBER } from '../version/configurationSchema';
 import type { FolderMerger, RecordOutcome } from '../version/Types';
 import type FreshnessProof from './FreshnessProof';
+import { PROOF_READ_INTERVAL_MS, PROOF_READ_SHARE } from './FreshnessProof';
 import LogError from './LogError';
 import LogExpiredError from './LogExpiredError';
 import type { HeadTracker, Log, LogBatch, LogReaderState, Membership } from './Types';
@@ -16,10 +17,6 @@
 const LONG_POLL_WAIT_MS = 2_000;
 /** Interval at which a daemon that doesn't read the log checks whether it should. */
 const ROLE_CHECK_INTERVAL_MS = 500;
-/** Interval between two reads while keys are checked, in ms; such reads don't wait. */
-const PROOF_READ_INTERVAL_MS = 1_000;
-/** Share of the revocation bound from which on a daemon reads the log itself to get a younger proof. */
-const PROOF_READ_SHARE = 1 / 2;
 const READ_BACKOFF: Backoff = { baseMs: 200, capMs: 5_000 };
 
 /** Conditions under which a daemon itself reads the configuration stream of the log. */
--- a/src/request/Authenticator.ts
+++ b/src/request/Authenticator.ts
@@ -1,6 +1,6 @@
-import { createHash } from 'node:crypto';
-import type { Clock, KeyDigest, Logger, OrganisationName } from '../common/Types';
+import type { Clock, Logger, OrganisationName } from '../common/Types';
 import type { CurrentVersion, Organisation, Route } from '../version/Types';
+import keyDigest from '../version/keyDigest';
 import NotRunError from './NotRunError';
 import RequestError from './RequestError';
 import type { KeyProof, KeyRefusal } from './Types';
@@ -27,10 +27,6 @@
   readonly logger: Logger;
 }
 
-function digestOf(key: string): KeyDigest {
-  return createHash('sha256').update(key).digest('hex') as KeyDigest;
-}
-
 function roundedAge(proof: KeyProof | undefined): number | null {
   return proof && Number.isFinite(proof.ageMs) ? Math.round(proof.ageMs) : null;
 }
@@ -62,7 +58,7 @@
   public authenticate(route: Route, key: string | undefined): Organisation | undefined {
     const { snapshot } = this.services.versions;
     if (!snapshot || snapshot.configuration.organisations.size === 0) return undefined;
-    const organisation = key === undefined ? undefined : snapshot.organisationOf(digestOf(key));
+    const organisation = key === undefined ? undefined : snapshot.organisationOf(keyDigest(key));
     if (!organisation && route.isPublic) return undefined;
     if (key !== undefined) this.checkProof(organisation);
     return organisation ?? this.refuse(route, key === undefined ? 'missing' : 'unknown');
--- a/src/request/QuotaClient.ts
+++ b/src/request/QuotaClient.ts
@@ -178,7 +178,7 @@
    *
    * @param organisation - Organisation of the caller.
    * @param quota - Its quota.
-   * @returns The credit, or a promise of it, which waits for an owner for at most 300 ms.
+   * @returns The credit, or a promise of it, which waits for an owner for a bounded time.
    * @throws QuotaError - The organisation is over its quota.
    * @throws NotRunError - This daemon has no part of the quota left, and can't reach the owners.
    */
--- a/src/rollout/Rollouts.ts
+++ b/src/rollout/Rollouts.ts
@@ -24,7 +24,7 @@
 
 /** Interval at which evidence is evaluated and news are passed on, in milliseconds. */
 const TICK_MS = 250;
-/** Longest and shortest interval of a daemon's reports while a rollout runs, in milliseconds. */
+/** Shortest interval of a daemon's reports while a rollout runs and nothing is urgent, in milliseconds. */
 const REPORT_INTERVAL_MS = 1_500;
 /** Additional interval of the reports for each member, so that large fleets send no more in all. */
 const REPORT_INTERVAL_PER_MEMBER_MS = 25;
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -137,11 +137,7 @@
   keys: z.array(z.string({ error: keysExpected }).regex(KEY_DIGEST, { error: keysExpected }), {
     error: keysExpected,
   }),
-  priority: z
-    .int({ error: `a whole number from 0 to ${MAX_PRIORITY}` })
-    .min(0, { error: `a whole number from 0 to ${MAX_PRIORITY}` })
-    .max(MAX_PRIORITY, { error: `a whole number from 0 to ${MAX_PRIORITY}` })
-    .optional(),
+  priority: integer(0, MAX_PRIORITY).optional(),
   rate: quotaNumber.default(0),
   burst: quotaNumber.default(0),
 });
--- a/src/version/configurationWarnings.ts
+++ b/src/version/configurationWarnings.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { parse } from 'smol-toml';
+import { parseDocument } from './parsedDocuments';
 import { formatValue, locateLine } from './validationIssues';
 import type { Configuration, Folder, Organisation, Route, Service, ValidationIssue } from './Types';
 
@@ -152,7 +152,7 @@
   const source = provenance.find(({ key }) => key === `organisation.${name}`);
   const file = folder.find((candidate) => candidate.name === source?.file);
   if (!file) return 0;
-  const { organisation } = parse(file.content) as {
+  const { organisation } = parseDocument(file) as {
     organisation?: Readonly<Record<string, { readonly burst?: number }>>;
   };
   return organisation?.[name]?.burst ?? 0;
