Use one decaying sum and one kind of short keys

Arrival rates by zone, the use of slots by organisations and rates of quotas each had their own exponential decay, and zones and daemons their own remembered keys. Values are computed by the same formulas as before; 43 tests of the classes that use them pass.

--- a/src/request/ArrivalRates.ts
+++ b/src/request/ArrivalRates.ts
@@ -1,4 +1,5 @@
 import type { ZoneName } from '../common/Types';
+import DecayingRate from './DecayingRate';
 import type { ZoneKey } from './Types';
 import zoneKey from './zoneKey';
 
@@ -6,19 +7,13 @@
 const TIME_CONSTANT_MS = 2_000;
 /** Rate, in calls per second, below which a zone is dropped; reports have whole calls per second. */
 const MIN_RATE_PER_S = 0.5;
-const MS_PER_SECOND = 1_000;
-
-interface Rate {
-  perSecond: number;
-  updatedAt: number;
-}
 
 /**
  * Rates at which calls arrive at one upstream, by the zone of the daemon that sent them. Calls that are
  * refused count as well, as they are part of the demand.
  */
 export default class ArrivalRates {
-  private readonly rates = new Map<ZoneKey, Rate>();
+  private readonly rates = new Map<ZoneKey, DecayingRate>();
 
   /**
    * @param zone - Zone of the daemon that sent the call.
@@ -26,14 +21,9 @@
    */
   public record(zone: ZoneName, now: number): void {
     const key = zoneKey(zone);
-    const rate = this.rates.get(key);
-    const added = MS_PER_SECOND / TIME_CONSTANT_MS;
-    if (rate) {
-      rate.perSecond = ArrivalRates.decayed(rate, now) + added;
-      rate.updatedAt = now;
-    } else {
-      this.rates.set(key, { perSecond: added, updatedAt: now });
-    }
+    const rate = this.rates.get(key) ?? new DecayingRate(TIME_CONSTANT_MS);
+    this.rates.set(key, rate);
+    rate.add(now);
   }
 
   /**
@@ -44,14 +34,10 @@
   public report(now: number): readonly number[] {
     const report: number[] = [];
     for (const [key, rate] of this.rates) {
-      const perSecond = ArrivalRates.decayed(rate, now);
+      const perSecond = rate.read(now);
       if (perSecond >= MIN_RATE_PER_S) report.push(key, Math.round(perSecond));
       else this.rates.delete(key);
     }
     return report;
   }
-
-  private static decayed({ perSecond, updatedAt }: Rate, now: number): number {
-    return perSecond * Math.exp((updatedAt - now) / TIME_CONSTANT_MS);
-  }
 }
--- a/src/request/DecayingRate.ts
+++ b/src/request/DecayingRate.ts
@@ -1,17 +1,19 @@
-/** Time over which events are averaged, in milliseconds. */
-const TIME_CONSTANT_MS = 1_000;
+import DecayingSum from './DecayingSum';
+
 const MS_PER_SECOND = 1_000;
 
 /** Average number of events a second, with exponential decay. */
 export default class DecayingRate {
-  private value = 0;
+  private readonly sum: DecayingSum;
 
-  private at = 0;
+  /** @param timeConstantMs - Time over which events are averaged, in milliseconds. */
+  public constructor(private readonly timeConstantMs: number) {
+    this.sum = new DecayingSum(timeConstantMs);
+  }
 
   /** @param now - Monotonic time of an event, in milliseconds. */
   public add(now: number): void {
-    this.value = this.read(now) + MS_PER_SECOND / TIME_CONSTANT_MS;
-    this.at = now;
+    this.sum.add(MS_PER_SECOND / this.timeConstantMs, now);
   }
 
   /**
@@ -19,6 +21,6 @@
    * @returns Events a second.
    */
   public read(now: number): number {
-    return this.value * Math.exp((this.at - now) / TIME_CONSTANT_MS);
+    return this.sum.read(now);
   }
 }
--- a/src/request/OrganisationUse.ts
+++ b/src/request/OrganisationUse.ts
@@ -1,4 +1,5 @@
 import type { OrganisationName } from '../common/Types';
+import DecayingSum from './DecayingSum';
 
 /** Time over which the use is averaged, in milliseconds: several times as long as calls hold slots. */
 const TIME_CONSTANT_MS = 2_000;
@@ -12,7 +13,7 @@
  * which divides the slots max-min fairly: none gets less than an equal share unless it asks for less.
  */
 export default class OrganisationUse {
-  private readonly uses = new Map<OrganisationName, { valueMs: number; at: number }>();
+  private readonly uses = new Map<OrganisationName, DecayingSum>();
 
   /**
    * @param organisation - Organisation whose call got a slot.
@@ -20,8 +21,9 @@
    * @param now - Monotonic time, in milliseconds.
    */
   public add(organisation: OrganisationName, durationMs: number, now: number): void {
-    const valueMs = this.read(organisation, now) + Math.max(1, durationMs);
-    this.uses.set(organisation, { valueMs, at: now });
+    const use = this.uses.get(organisation) ?? new DecayingSum(TIME_CONSTANT_MS);
+    this.uses.set(organisation, use);
+    use.add(Math.max(1, durationMs), now);
     if (this.uses.size > MAX_TRACKED) this.forgetUnused(now);
   }
 
@@ -31,8 +33,7 @@
    * @returns Its use, in milliseconds of slot time.
    */
   public read(organisation: OrganisationName, now: number): number {
-    const use = this.uses.get(organisation);
-    return use ? use.valueMs * Math.exp((use.at - now) / TIME_CONSTANT_MS) : 0;
+    return this.uses.get(organisation)?.read(now) ?? 0;
   }
 
   private forgetUnused(now: number): void {
--- a/src/request/QuotaClient.ts
+++ b/src/request/QuotaClient.ts
@@ -26,6 +26,8 @@
 const AHEAD_FACTOR = 1.2;
 /** Calls a second below which credits are only asked for when a call comes. */
 const MIN_DEMAND = 0.2;
+/** Time over which calls a second are averaged, in milliseconds. */
+const RATE_TIME_CONSTANT_MS = 1_000;
 /** Time in milliseconds after which the state of an organisation without calls is dropped. */
 const FORGET_MS = 10_000;
 /** Time, in ms from now, after which the times told to refused callers are as close as possible. */
@@ -285,8 +287,8 @@
         quota,
         name,
         purses: [first!, second!],
-        arrivals: new DecayingRate(),
-        served: new DecayingRate(),
+        arrivals: new DecayingRate(RATE_TIME_CONSTANT_MS),
+        served: new DecayingRate(RATE_TIME_CONSTANT_MS),
         waiters: [],
         lastCallAt: now,
         retryAt: 0,
--- a/src/request/daemonKey.ts
+++ b/src/request/daemonKey.ts
@@ -1,9 +1,9 @@
-import rendezvousWeight from '../common/rendezvousWeight';
 import type { DaemonId } from '../common/Types';
+import shortKeys from './shortKeys';
 
 const KEY_COUNT = 2 ** 32;
 
-const keys = new Map<DaemonId, number>();
+const keyOf = shortKeys<DaemonId>('daemon', KEY_COUNT);
 
 /**
  * Returns a short key for a daemon, so that a relayed report needs five bytes instead of the name. Two of
@@ -13,10 +13,5 @@
  * @returns The key, the same at all daemons.
  */
 export default function daemonKey(daemon: DaemonId): number {
-  let key = keys.get(daemon);
-  if (key === undefined) {
-    key = rendezvousWeight('daemon', daemon) % KEY_COUNT;
-    keys.set(daemon, key);
-  }
-  return key;
+  return keyOf(daemon);
 }
--- a/src/request/zoneKey.ts
+++ b/src/request/zoneKey.ts
@@ -1,10 +1,10 @@
-import rendezvousWeight from '../common/rendezvousWeight';
 import type { ZoneName } from '../common/Types';
 import type { ZoneKey } from './Types';
+import shortKeys from './shortKeys';
 
 const KEY_COUNT = 2 ** 16;
 
-const keys = new Map<ZoneName, ZoneKey>();
+const keyOf = shortKeys<ZoneName>('zone', KEY_COUNT);
 
 /**
  * Returns a short key for a zone, so that a load report needs three bytes instead of the name. Two of
@@ -14,10 +14,5 @@
  * @returns The key, the same at all daemons.
  */
 export default function zoneKey(zone: ZoneName): ZoneKey {
-  let key = keys.get(zone);
-  if (key === undefined) {
-    key = (rendezvousWeight('zone', zone) % KEY_COUNT) as ZoneKey;
-    keys.set(zone, key);
-  }
-  return key;
+  return keyOf(zone) as ZoneKey;
 }
