Accept services of any printable name

Cause: the adapter passes names on as the operator writes them, and the folder's names allowed lower-case letters, digits and hyphens only. mergeAccepted leaves out the service's file, and then the files of the routes to it, so that the next shorter prefix matches. The same pattern refused health paths with a query (every route was gone) and the settings of a daemon whose service, zone or name has a space.

Weighed: names encoded by the adapter would have to be turned back in headers, heartbeats, settings, orders of roll-outs, logs and dumps; a wider pattern leaves them as they are.

Change: names of services are printable text of up to 255 characters without spaces at the ends, sent as UTF-8. A folder that needs nothing newer is still written as schema 3, so that daemons of the release before follow it.

--- a/src/command/Publisher.ts
+++ b/src/command/Publisher.ts
@@ -9,6 +9,7 @@
 import { folderChanges, folderDigest } from '../version/folder';
 import ConfigurationReplay from '../version/ConfigurationReplay';
 import mergePublication from '../version/mergePublication';
+import requiredSchema from '../version/requiredSchema';
 import { encodeRecord } from '../version/recordSchema';
 import type { Folder, Head, Publication, RecordOutcome } from '../version/Types';
 import CommandError from './CommandError';
@@ -82,7 +83,7 @@
   public async publish(folder: Folder, base: Head | undefined): Promise<PublicationOutcome> {
     const publication: Publication = {
       kind: 'publication',
-      schema: SCHEMA_NUMBER,
+      schema: requiredSchema(folder),
       id: randomUUID() as PublicationId,
       base: base?.version ?? null,
       changes: folderChanges(base?.folder ?? [], folder),
--- a/src/connection/CheckpointWriter.ts
+++ b/src/connection/CheckpointWriter.ts
@@ -1,7 +1,7 @@
 import { jitteredPeriod } from '../common/backoff';
 import sleep from '../common/sleep';
 import type { Clock, Disposable, Logger, Random } from '../common/Types';
-import { SCHEMA_NUMBER } from '../version/configurationSchema';
+import { COMMON_SCHEMA_NUMBER } from '../version/configurationSchema';
 import { encodeRecord } from '../version/recordSchema';
 import LogError from './LogError';
 import type LogTailer from './LogTailer';
@@ -91,7 +91,7 @@
         'configuration',
         encodeRecord({
           kind: 'checkpoint',
-          schema: SCHEMA_NUMBER,
+          schema: Math.max(COMMON_SCHEMA_NUMBER, head.schema),
           through: knowledge.through,
           head,
         }),
--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -3,8 +3,8 @@
 import sleep from '../common/sleep';
 import withLinkedSignal from '../common/withLinkedSignal';
 import type { Clock, Disposable, Logger, Offset, Random, VersionNumber } from '../common/Types';
-import { SCHEMA_NUMBER } from '../version/configurationSchema';
 import { applyChanges, digestSteps, folderChanges } from '../version/folder';
+import requiredSchema from '../version/requiredSchema';
 import type { Head } from '../version/Types';
 import type FreshnessProof from './FreshnessProof';
 import { PROOF_READ_INTERVAL_MS, PROOF_READ_SHARE } from './FreshnessProof';
@@ -329,7 +329,7 @@
     const known = this.heads.head?.folder ?? [];
     const folder = applyChanges(known, folderChanges(known, published));
     return {
-      schema: SCHEMA_NUMBER,
+      schema: requiredSchema(folder),
       version,
       publicationId: `store-${version}` as Head['publicationId'],
       digest: await runInSlices(digestSteps(folder), this.clock),
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -8,11 +8,14 @@
 import * as z from 'zod';
 import { DURATION_EXPECTED, parseDuration } from '../common/parseDuration';
 import type { Address, DaemonId, FileName, ServiceName, ZoneName } from '../common/Types';
+import { SERVICE_NAME, serviceNameSchema } from '../version/configurationSchema';
 import { formatIssue, schemaIssues } from '../version/validationIssues';
 import SettingsError from './SettingsError';
 
 const ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/;
 const ADDRESS_EXPECTED = 'an IP address and a port, such as "10.0.0.7:7000"';
+/** Maximum length of the names of daemons and zones; a name is a part of a key of the store. */
+const MAX_NAME_LENGTH = 128;
 const MEBIBYTE = 1024 * 1024;
 const MAX_SLACK = 1_000_000;
 const SLACK_EXPECTED = `a number from 0 to ${MAX_SLACK}`;
@@ -49,7 +52,8 @@
   .max(MAX_KILOBYTE_MS, { error: KILOBYTE_EXPECTED });
 const name = z
   .string({ error: 'a name' })
-  .regex(/^[\w.:-]{1,128}$/, { error: 'a name of letters, digits, dots, colons and hyphens' });
+  .max(MAX_NAME_LENGTH, { error: `a name of at most ${MAX_NAME_LENGTH} characters` })
+  .regex(SERVICE_NAME, { error: 'a name of printable characters without spaces at its ends' });
 
 const settingsSchema = z.strictObject({
   daemon: z.strictObject({
@@ -60,7 +64,7 @@
     control: address,
     advertise: address.optional(),
     ready: address.optional(),
-    service: name.transform((value) => value as ServiceName).optional(),
+    service: serviceNameSchema.transform((value) => value as ServiceName).optional(),
     drain: duration('30s'),
     leave: duration('500ms'),
     link_mbps: z.number({ error: LINK_EXPECTED }).positive({ error: LINK_EXPECTED }).optional(),
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -9,8 +9,13 @@
 import * as z from 'zod';
 import { DURATION_EXPECTED, parseDuration } from '../common/parseDuration';
 
-/** Schema number that this release writes, and the highest that it reads. */
-export const SCHEMA_NUMBER = 3;
+/** Highest schema number that this release reads. */
+export const SCHEMA_NUMBER = 4;
+/**
+ * Schema number that this release writes for a folder that needs nothing newer, so that daemons of the
+ * release before can read it during an upgrade.
+ */
+export const COMMON_SCHEMA_NUMBER = 3;
 
 const MAX_SLOTS = 10_000;
 export const MAX_CONNECTIONS = 10_000;
@@ -24,10 +29,17 @@
 /** Numeric values of the named priorities of routes; queued calls with lower values run first. */
 const NAMED_PRIORITIES = { interactive: 0, background: 1 } as const;
 
-/** Pattern of the names of services and routes. */
+/** Pattern of the names of routes, and of services up to schema 3. */
 export const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
-/** Paths of routes and health checks. */
+/**
+ * Pattern of the names of services, which are sent to upstreams in a header: printable characters without
+ * spaces at the ends, which HTTP would remove. `__proto__` can't be a key of the tables that hold weights.
+ */
+export const SERVICE_NAME = /^(?!__proto__$)(?=.{1,255}$)(?! )[^\p{Cc}\p{Cs}\p{Zl}\p{Zp}]*(?<! )$/u;
+/** Paths of routes, and of health checks up to schema 3. */
 export const PATH = /^\/[^\s?#]*$/;
+/** Paths of health checks, which may have a query. */
+export const HEALTH_PATH = /^\/[\x21\x22\x24-\x7e]*$/;
 /** Pattern of the names of organisations, which are sent to upstreams in a header. */
 export const ORGANISATION_NAME = /^[\w.@:-]{1,128}$/;
 const KEY_DIGEST = /^[0-9a-f]{64}$/;
@@ -54,11 +66,16 @@
 
 const boolean = z.boolean({ error: 'true or false' });
 
-/** Schema of the names of services and routes. */
+/** Schema of the names of routes. */
 export const nameSchema = z.string().regex(NAME, {
   error: 'a name of lower-case letters, digits and hyphens, at most 63 long',
 });
 
+/** Schema of the names of services. */
+export const serviceNameSchema = z.string().regex(SERVICE_NAME, {
+  error: 'a name of printable characters without spaces at its ends, at most 255 long',
+});
+
 /** Schema of a `[service.NAME]` table. */
 export const serviceSchema = z.strictObject({
   slots: integer(1, MAX_SLOTS).default(16),
@@ -67,7 +84,7 @@
   warm_up: durationMs(MAX_TIMEOUT_MS).default(0),
   health: z
     .string({ error: 'a path that begins with /' })
-    .regex(PATH, { error: 'a path that begins with /, without query or spaces' })
+    .regex(HEALTH_PATH, { error: 'a path that begins with /, without spaces or #' })
     .optional(),
 });
 
@@ -83,11 +100,15 @@
     .string({ error: 'a host name' })
     .regex(HOST, { error: 'a host name in lower case' })
     .optional(),
-  service: nameSchema.optional(),
+  service: serviceNameSchema.optional(),
   split: z
-    .record(nameSchema, z.number({ error: splitExpected }).positive({ error: splitExpected }), {
-      error: splitExpected,
-    })
+    .record(
+      serviceNameSchema,
+      z.number({ error: splitExpected }).positive({ error: splitExpected }),
+      {
+        error: splitExpected,
+      },
+    )
     .refine((split) => Object.keys(split).length > 0, { error: splitExpected })
     .refine((split) => Object.values(split).every((weight) => weight <= MAX_WEIGHT), {
       error: `weights of at most ${MAX_WEIGHT}`,
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -28,6 +28,8 @@
   organisationSchema,
   rolloutSchema,
   routeSchema,
+  SERVICE_NAME,
+  serviceNameSchema,
   serviceSchema,
 } from './configurationSchema';
 import { parseDocument } from './parsedDocuments';
@@ -80,6 +82,14 @@
   'limits',
 ] as const;
 
+/** Form of the names of each kind of entry. */
+const NAMES = {
+  service: { pattern: SERVICE_NAME, schema: serviceNameSchema },
+  route: { pattern: NAME, schema: nameSchema },
+  organisation: { pattern: ORGANISATION_NAME, schema: organisationNameSchema },
+  rollout: { pattern: SERVICE_NAME, schema: serviceNameSchema },
+} as const;
+
 /** Map key of the merged `[limits]` table, which has no name of its own. */
 const LIMITS_KEY = 'limits';
 
@@ -170,9 +180,7 @@
   parseTable: TableParser<Schema> = (value) => schema.safeParse(value),
 ): Steps<Map<string, z.output<Schema>>> {
   const parsed = new Map<string, z.output<Schema>>();
-  const isOrganisation = kind === 'organisation';
-  const pattern = isOrganisation ? ORGANISATION_NAME : NAME;
-  const namesSchema = isOrganisation ? organisationNameSchema : nameSchema;
+  const { pattern, schema: namesSchema } = NAMES[kind];
   yield* inSteps(section, ([name, { value, file }]) => {
     const table = `${kind}.${name}`;
     const source = { file: file.name, content: file.content, table };
