Close routes that can't be used in place of leaving them out

Cause: mergeAccepted removed the files of entries with issues. An absence has a meaning: the paths of a route that is gone belong to the shorter prefix. Of two routes for the same calls, the names of the files chose the one that stayed.

Change: a route that can't be used stays, matches and refuses its calls at once as 503 not-run with the reason, which is true. Routes that match the same calls and differ in what they do are all closed. Folders may close a route by the key 'closed' (schema 4). One log line for each version names the entries, the gauge closed_entries counts them, status, dump, explain and check show them. Nothing is done per call but one comparison.

--- a/src/connection/PeerHeadTracker.ts
+++ b/src/connection/PeerHeadTracker.ts
@@ -19,6 +19,9 @@
   PackedDelta,
 } from './Types';
 
+/** Maximum number of entries and of faults of a version that a log line names. */
+const MAX_LOGGED_ENTRIES = 20;
+
 /**
  * Merges configuration versions from the log and from peers. The version in force, its log offset
  * and the time of its last confirmation never go back.
@@ -243,9 +246,19 @@
       confirmedAgoMs: confirmedAt === undefined ? null : Math.round(startedAt - confirmedAt),
       tookMs: Math.round(this.clock.now() - startedAt),
     });
-    for (const issue of this.versions.snapshot?.leftOut ?? []) {
-      this.logger.log('A file of a version was left out.', { version, issue: formatIssue(issue) });
-    }
+    this.logFaults(version);
+  }
+
+  private logFaults(version: VersionNumber): void {
+    const { closed = [], faults = [] } = this.versions.snapshot ?? {};
+    if (closed.length === 0 && faults.length === 0) return;
+    this.logger.log('Entries of a version are closed or left out.', {
+      version,
+      closed: closed.length,
+      entries: closed.slice(0, MAX_LOGGED_ENTRIES).map(({ entry }) => entry),
+      faults: faults.length,
+      issues: faults.slice(0, MAX_LOGGED_ENTRIES).map(formatIssue),
+    });
   }
 
   private recordRefusal(error: InvalidHeadError, source: string): void {
--- a/src/process/DaemonMetrics.ts
+++ b/src/process/DaemonMetrics.ts
@@ -33,6 +33,7 @@
   readonly newestVersionHeard: () => number;
   readonly versionBehindSeconds: () => number;
   readonly versionsRefused: () => number;
+  readonly closedEntries: () => number;
   readonly members: () => number;
   readonly suspects: () => number;
   readonly links: () => number;
@@ -66,6 +67,10 @@
     'Time since a version newer than the one in force was first heard of.',
   ],
   versionsRefused: ['versions_refused', 'Versions that were received and refused as invalid.'],
+  closedEntries: [
+    'closed_entries',
+    'Entries of the version in force whose calls are refused, as they are closed.',
+  ],
   members: ['members', 'Live daemons known.'],
   suspects: ['members_suspect', 'Live daemons that were lost from sight.'],
   links: ['links_up', 'Links to peers that answer.'],
--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -39,8 +39,8 @@
   readonly rollouts: Rollouts;
   readonly meter: SocketMeter;
   readonly configuration: () => Configuration | undefined;
-  /** Number of faults that keep files out of the version in force. */
-  readonly leftOut: () => number;
+  /** Number of entries of the version in force that are closed, and of faults in it. */
+  readonly closed: () => { readonly entries: number; readonly faults: number };
   readonly clock: Clock;
 }
 
@@ -156,9 +156,10 @@
       const unavailable = route.targets.find(
         ({ service }) => members.upstreams(service).length === 0,
       );
-      const inForce = unavailable === undefined;
-      const reason = inForce ? null : `service ${unavailable.service} has no upstream that serves`;
-      return { ...route, inForce, reason };
+      const reason =
+        route.closed ??
+        (unavailable ? `service ${unavailable.service} has no upstream that serves` : null);
+      return { ...route, inForce: reason === null, reason };
     });
     return {
       files: head.folder.map(({ name }) => name),
@@ -208,8 +209,10 @@
     if (unknownSchema !== undefined) {
       problems.push(`a record of schema ${unknownSchema} can't be read`);
     }
-    const { leftOut } = this.dependencies;
-    if (leftOut() > 0) problems.push(`${leftOut()} faults keep files out of the version in force`);
+    const { entries, faults } = this.dependencies.closed();
+    if (entries + faults > 0) {
+      problems.push(`${entries} entries of the version in force are closed, ${faults} are faulty`);
+    }
     if (heads.refusedHead) problems.push(heads.refusedHead.message);
     if (reading && failures > 0 && age !== null && age > settings.log.stale) {
       problems.push('reads of the log fail');
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -481,7 +481,7 @@
 function wireMetrics(
   { clock, meter, log, lag }: Core,
   members: MemberTable,
-  { heads, proof, source: { logReader } }: ConfigurationComponents,
+  { versions, heads, proof, source: { logReader } }: ConfigurationComponents,
   { overlay }: PeerComponents,
   { registration }: UpstreamComponents,
 ) {
@@ -495,6 +495,7 @@
     newestVersionHeard: () => heads.newestVersionHeard ?? -1,
     versionBehindSeconds: () => heads.behindMs / MS_PER_SECOND,
     versionsRefused: () => heads.refusedCount,
+    closedEntries: () => versions.snapshot?.closed.length ?? 0,
     members: () => members.live().length,
     suspects: () => members.live().filter(({ health }) => health === 'suspect').length,
     links: () => overlay.state.filter(({ up }) => up).length,
@@ -726,7 +727,10 @@
     rollouts,
     meter,
     configuration: () => versions.snapshot?.configuration,
-    leftOut: () => versions.snapshot?.leftOut.length ?? 0,
+    closed: () => ({
+      entries: versions.snapshot?.closed.length ?? 0,
+      faults: versions.snapshot?.faults.length ?? 0,
+    }),
     clock,
   });
   serveOperators(listeners.control, { inspection, metrics, registration });
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -209,6 +209,9 @@
   public predictRefusal(method: string, host: string, path: string): Refusal | undefined {
     const route = this.match(method, host, path);
     if (!route) return this.noRoute();
+    if (route.closed !== undefined) {
+      return { status: 503, outcome: 'not-run', reason: CallHandler.closedReason(route) };
+    }
     const refusals = route.targets.map(({ service }) => this.noUpstream(route, service));
     return refusals.every(Boolean) ? refusals[0] : undefined;
   }
@@ -315,6 +318,9 @@
     }
     const { name, objectiveMs } = route;
     Object.assign(record, { route: name, objectiveMs });
+    if (route.closed !== undefined) {
+      throw new NotRunError(CallHandler.closedReason(route), { daemonNotReady: true });
+    }
     const key = message.headers[names.apiKey] as string | undefined;
     const organisation = this.authenticator.authenticate(route, key);
     const service = this.trafficSplitter.next(route);
@@ -388,6 +394,10 @@
     Object.assign(record, { reason: 'the answer broke off, or the caller left' });
   }
 
+  private static closedReason({ name, closed }: Route): string {
+    return `route ${name} is closed: ${closed}`;
+  }
+
   private takeCredit(organisation: Organisation | undefined): Credit | Promise<Credit> | undefined {
     const quota = organisation?.quota;
     return quota && this.services.takeCredit(organisation, quota);
--- a/src/request/TrafficSplitter.test.ts
+++ b/src/request/TrafficSplitter.test.ts
@@ -25,6 +25,7 @@
     hedge: false,
     retries: 0,
     isPublic: false,
+    closed: undefined,
   };
 }
 
--- a/src/version/IndexedSnapshot.ts
+++ b/src/version/IndexedSnapshot.ts
@@ -1,11 +1,21 @@
 import type { KeyDigest } from '../common/Types';
 import RouteTable from './RouteTable';
-import type { Configuration, Head, Organisation, Route, Snapshot, ValidationIssue } from './Types';
+import type {
+  ClosedEntry,
+  Configuration,
+  Head,
+  Organisation,
+  Route,
+  Snapshot,
+  ValidationIssue,
+} from './Types';
 
 /** An immutable configuration version with an index of its routes and its organisations' keys. */
 export default class IndexedSnapshot implements Snapshot {
   public readonly shortestObjectiveMs: number;
 
+  public readonly closed: readonly ClosedEntry[];
+
   private readonly routeTable: RouteTable;
 
   private readonly organisationsByKey = new Map<KeyDigest, Organisation>();
@@ -13,12 +23,16 @@
   public constructor(
     public readonly head: Head,
     public readonly configuration: Configuration,
-    public readonly leftOut: readonly ValidationIssue[],
+    public readonly faults: readonly ValidationIssue[],
   ) {
     const routes = [...configuration.routes.values()];
     this.routeTable = new RouteTable(routes);
+    this.closed = routes.flatMap(({ name, closed }) =>
+      closed === undefined ? [] : [{ entry: `route.${name}`, reason: closed }],
+    );
     this.shortestObjectiveMs = routes.reduce(
-      (shortest, { objectiveMs }) => Math.min(shortest, objectiveMs),
+      (shortest, { objectiveMs, closed }) =>
+        closed === undefined ? Math.min(shortest, objectiveMs) : shortest,
       Infinity,
     );
     for (const organisation of configuration.organisations.values()) {
--- a/src/version/RouteTable.test.ts
+++ b/src/version/RouteTable.test.ts
@@ -18,6 +18,7 @@
     hedge: false,
     retries: 0,
     isPublic: false,
+    closed: undefined,
   };
 }
 
--- a/src/version/RouteTable.ts
+++ b/src/version/RouteTable.ts
@@ -10,7 +10,7 @@
 
 /**
  * Index of a version's routes by host and path. The longest matching path with a route that allows
- * the method is chosen.
+ * the method is chosen; a closed route without a path is chosen last.
  */
 export default class RouteTable {
   private readonly routesByHost = new Map<string, Map<string, Route[]>>();
@@ -53,6 +53,6 @@
         ? prefix.slice(0, -1)
         : prefix.slice(0, prefix.lastIndexOf('/') + 1);
     }
-    return undefined;
+    return routeAt('');
   }
 }
--- a/src/version/Types.ts
+++ b/src/version/Types.ts
@@ -92,7 +92,7 @@
   readonly targets: readonly WeightedService[];
   /**
    * Path that the route matches, along with all paths below it; with a trailing slash, the route
-   * matches only the paths below.
+   * matches only the paths below. Empty for a closed route that matches the paths of no other route of its host.
    */
   readonly path: string;
   readonly methods: readonly string[];
@@ -112,6 +112,8 @@
   readonly retries: number;
   /** Whether callers need no key. */
   readonly isPublic: boolean;
+  /** Why its calls are refused; `undefined` if they aren't. */
+  readonly closed: string | undefined;
 }
 
 /** Limit on the calls of an organisation, over all daemons together. */
@@ -171,13 +173,20 @@
   readonly provenance: readonly Provenance[];
 }
 
+/** An entry that matches calls and has them refused. */
+export interface ClosedEntry {
+  /** Name of the entry, such as `route.stock`. */
+  readonly entry: string;
+  readonly reason: string;
+}
+
 /** Result of merging and validating a folder. */
 export type MergeResult =
   | {
       readonly kind: 'valid';
       readonly configuration: Configuration;
-      /** Issues of the files that were left out of the configuration. */
-      readonly leftOut: readonly ValidationIssue[];
+      /** Issues of the entries that are closed or left out. */
+      readonly faults: readonly ValidationIssue[];
     }
   | { readonly kind: 'invalid'; readonly issues: readonly ValidationIssue[] };
 
@@ -251,8 +260,10 @@
 export interface Snapshot {
   readonly head: Head;
   readonly configuration: Configuration;
-  /** Issues of the files that were left out of the configuration. */
-  readonly leftOut: readonly ValidationIssue[];
+  /** Issues of the entries that are closed or left out. */
+  readonly faults: readonly ValidationIssue[];
+  /** Entries whose calls are refused. */
+  readonly closed: readonly ClosedEntry[];
   /** Lowest latency objective of all routes, in milliseconds. */
   readonly shortestObjectiveMs: number;
   /**
--- a/src/version/VersionStore.ts
+++ b/src/version/VersionStore.ts
@@ -18,7 +18,7 @@
   if (result.kind === 'invalid') {
     throw new InvalidHeadError(head.version, formatIssue(result.issues[0]!));
   }
-  return new IndexedSnapshot(head, result.configuration, result.leftOut);
+  return new IndexedSnapshot(head, result.configuration, result.faults);
 }
 
 /**
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -20,6 +20,7 @@
 const MAX_SLOTS = 10_000;
 export const MAX_CONNECTIONS = 10_000;
 const MAX_QUEUE = 100_000;
+export const MAX_REASON_LENGTH = 500;
 export const MAX_RETRIES = 20;
 export const MAX_TIMEOUT_MS = 3_600_000;
 export const MAX_PRIORITY = 100;
@@ -76,6 +77,13 @@
   error: 'a name of printable characters without spaces at its ends, at most 255 long',
 });
 
+/** Schema of the reason for which an entry is closed: its calls are refused. */
+const closedSchema = z
+  .string({ error: 'a reason' })
+  .min(1, { error: 'a reason' })
+  .max(MAX_REASON_LENGTH, { error: `a reason of at most ${MAX_REASON_LENGTH} characters` })
+  .optional();
+
 /** Schema of a `[service.NAME]` table. */
 export const serviceSchema = z.strictObject({
   slots: integer(1, MAX_SLOTS).default(16),
@@ -92,8 +100,8 @@
 const splitExpected = 'a table of service names and positive weights';
 
 /**
- * Schema of a `[route.NAME]` table. That it has either a service or a split is checked by
- * `mergeFolder`.
+ * Schema of a `[route.NAME]` table. That it has either a service or a split, unless it is closed, is checked
+ * by `mergeFolder`.
  */
 export const routeSchema = z.strictObject({
   host: z
@@ -138,6 +146,7 @@
   hedge: boolean.default(false),
   retries: integer(0, MAX_RETRIES).optional(),
   public: boolean.default(false),
+  closed: closedSchema,
 });
 
 const keysExpected =
@@ -163,6 +172,9 @@
   burst: quotaNumber.default(0),
 });
 
+/** Schema of a `[route.NAME]` table with the key `closed`; without a path it is for those of no other route. */
+export const closedRouteSchema = routeSchema.extend({ path: routeSchema.shape.path.optional() });
+
 /** Schema of a `[rollout.SERVICE]` table. */
 export const rolloutSchema = z.strictObject({
   version: z
--- a/src/version/configurationWarnings.ts
+++ b/src/version/configurationWarnings.ts
@@ -54,6 +54,9 @@
 
 function* limitWarnings(route: Route, { retryBudget }: Configuration, warn: Warn) {
   const entry = `route.${route.name}`;
+  if (route.closed !== undefined) {
+    yield warn(entry, 'closed', formatValue(route.closed), 'nothing: its calls are refused');
+  }
   if (route.objectiveMs > route.timeoutMs) {
     yield warn(
       entry,
--- a/src/version/mergeFolder.test.ts
+++ b/src/version/mergeFolder.test.ts
@@ -1,6 +1,10 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import runAtOnce from '../common/runAtOnce';
 import type { FileName } from '../common/Types';
+import IndexedSnapshot from './IndexedSnapshot';
+import mergeAccepted from './mergeAccepted';
+import type { Head } from './Types';
 import { formatIssue } from './validationIssues';
 import { sortedFolder } from './folder';
 import mergeFolder from './mergeFolder';
@@ -96,6 +100,79 @@
   );
 });
 
+/** Merges an accepted folder, and tells which route a path has and why it is closed. */
+function matchAccepted(content: string, paths: readonly string[]): string {
+  const result = runAtOnce(mergeAccepted(folderOf({ '10.toml': content })));
+  if (result.kind === 'invalid') return result.issues.map(formatIssue).join('\n');
+  const snapshot = new IndexedSnapshot({ schema: 4 } as Head, result.configuration, result.faults);
+  const lines = paths.map((path) => {
+    const route = snapshot.match('GET', 'h', path);
+    return `${path} ${route ? `${route.name}${route.closed ? `, closed: ${route.closed}` : ''}` : 'none'}`;
+  });
+  return [...lines, ...snapshot.closed.map(({ entry }) => entry)].join('\n');
+}
+
+// Guards against a route that is left out, so that its calls run at the service of a shorter path.
+test('what is invalid in an accepted folder is closed and takes no path from the valid routes', () => {
+  assert.snapshot(
+    matchAccepted(
+      `${SERVICE}[route.root]
+service = "stock"
+path = "/"
+[route.gone]
+service = "desk"
+path = "/gone/"
+[route.steep]
+service = "stock"
+path = "/steep/"
+retries = 99
+[route.first]
+service = "stock"
+path = "/twice/"
+[route.second]
+service = "stock"
+path = "/twice/"
+idempotent = false
+[route.same]
+service = "stock"
+path = "/same/"
+[route.same-again]
+service = "stock"
+path = "/same/"
+[route.pathless]
+service = "stock"
+path = 7
+[route.maintained]
+service = "stock"
+path = "/maintained/"
+closed = "maintenance until 6"
+`,
+      ['/a', '/gone/a', '/steep/a', '/twice/a', '/same/a', '/maintained/a'],
+    ),
+    `/a root
+/gone/a gone, closed: route.gone.service: found "desk", expected a service that some file declares
+/steep/a steep, closed: route.steep.retries: found 99, expected a whole number from 0 to 20
+/twice/a first, closed: route.second.path: found "/twice/", expected a path and methods that route.first doesn't match already
+/same/a same
+/maintained/a maintained, closed: maintenance until 6
+route.gone
+route.first
+route.second
+route.maintained
+route.steep
+route.pathless`,
+  );
+  assert.snapshot(
+    matchAccepted(
+      `${SERVICE}[route.low]\nservice = "stock"\npath = "/low/"\n[route.pathless]\nservice = "stock"\n`,
+      ['/low/a', '/high/a'],
+    ),
+    `/low/a low
+/high/a pathless, closed: route.pathless.path: found nothing, expected a path that begins with /
+route.pathless`,
+  );
+});
+
 test('only a publication is limited in size, as the log limits its records', () => {
   const comment = `# ${'x'.repeat(1_000)}\n`;
   const files = { '10.toml': comment.repeat(MAX_PUBLISHED_BYTES / 1_000) };
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { isDeepStrictEqual } from 'node:util';
 import { TomlError } from 'smol-toml';
 import type * as z from 'zod';
 import inSteps from '../common/inSteps';
@@ -17,9 +18,11 @@
   Steps,
 } from '../common/Types';
 import {
+  closedRouteSchema,
   DEFAULTS,
   defaultsSchema,
   limitsSchema,
+  MAX_REASON_LENGTH,
   METHODS,
   NAME,
   nameSchema,
@@ -68,6 +71,25 @@
   readonly limits: Section;
 }
 
+/** What becomes of invalid entries: the folder is refused, or they are closed. */
+type InvalidEntries = 'refuse' | 'close';
+
+/** The entries of one kind: those that are valid, and an issue of each of the others. */
+interface ParsedEntries<Parsed> {
+  readonly valid: Map<string, Parsed>;
+  readonly invalid: Map<string, ValidationIssue>;
+}
+
+/** A fault that shows when a route is compared with other entries. */
+interface RouteFault {
+  readonly issue: ValidationIssue;
+  /** The routes whose calls can't be told apart or served. */
+  readonly routes: readonly Route[];
+}
+
+/** Schema of routes; closed ones need no path. */
+type RouteSchema = typeof routeSchema | typeof closedRouteSchema;
+
 /** Validates a table against a schema. */
 type TableParser<Schema extends z.ZodType> = (
   value: unknown,
@@ -178,21 +200,27 @@
   schema: Schema,
   issues: ValidationIssue[],
   parseTable: TableParser<Schema> = (value) => schema.safeParse(value),
-): Steps<Map<string, z.output<Schema>>> {
-  const parsed = new Map<string, z.output<Schema>>();
+): Steps<ParsedEntries<z.output<Schema>>> {
+  const valid = new Map<string, z.output<Schema>>();
+  const invalid = new Map<string, ValidationIssue>();
   const { pattern, schema: namesSchema } = NAMES[kind];
   yield* inSteps(section, ([name, { value, file }]) => {
     const table = `${kind}.${name}`;
     const source = { file: file.name, content: file.content, table };
     // The pattern alone takes a tenth of the schema's time, which counts for thousands of routes.
-    if (!pattern.test(name)) {
-      issues.push(...schemaIssues(namesSchema.safeParse(name).error!, name, source));
-    }
+    const nameIssues = pattern.test(name)
+      ? []
+      : schemaIssues(namesSchema.safeParse(name).error!, name, source);
     const result = validate(schema, value, parseTable);
-    if (result.success) parsed.set(name, result.data);
-    else issues.push(...schemaIssues(result.error, value, source).map(withoutKey));
+    const found = result.success
+      ? nameIssues
+      : [...nameIssues, ...schemaIssues(result.error, value, source).map(withoutKey)];
+    if (found.length > 0) {
+      issues.push(...found);
+      invalid.set(name, found[0]!);
+    } else valid.set(name, result.data!);
   });
-  return parsed;
+  return { valid, invalid };
 }
 
 function parseDefaults(section: Section, issues: ValidationIssue[]): typeof DEFAULTS {
@@ -235,7 +263,10 @@
   };
 }
 
-function targetsOf({ service, split }: z.output<typeof routeSchema>): WeightedService[] {
+function targetsOf({
+  service,
+  split,
+}: Pick<z.output<RouteSchema>, 'service' | 'split'>): WeightedService[] {
   if (service !== undefined) return [{ service: service as ServiceName, weight: 1 }];
   return Object.entries(split ?? {}).map(([name, weight]) => ({
     service: name as ServiceName,
@@ -243,17 +274,13 @@
   }));
 }
 
-function buildRoute(
-  name: string,
-  parsed: z.output<typeof routeSchema>,
-  defaults: typeof DEFAULTS,
-): Route {
+function buildRoute(name: string, parsed: z.output<RouteSchema>, defaults: typeof DEFAULTS): Route {
   const timeoutMs = parsed.timeout ?? defaults.timeout;
   return {
     name: name as RouteName,
     host: parsed.host,
     targets: targetsOf(parsed),
-    path: parsed.path,
+    path: parsed.path ?? '',
     methods: parsed.methods ?? METHODS,
     timeoutMs,
     objectiveMs: parsed.objective ?? timeoutMs,
@@ -262,9 +289,34 @@
     hedge: parsed.hedge,
     retries: parsed.retries ?? defaults.retries,
     isPublic: parsed.public,
+    closed: parsed.closed,
   };
 }
 
+/** Formats an issue as the reason for which an entry is closed. */
+function closingReason({ key, found, expected }: ValidationIssue): string {
+  return `${key}: found ${found}, expected ${expected}`.slice(0, MAX_REASON_LENGTH);
+}
+
+/** Closes what an invalid route can match: its path and its host, or all of them where one can't be told. */
+function closeInvalidRoute(
+  name: string,
+  value: unknown,
+  issue: ValidationIssue,
+  defaults: typeof DEFAULTS,
+): Route {
+  const table = isTable(value) ? value : {};
+  const host = routeSchema.shape.host.safeParse(table.host).data;
+  const parsed = closedRouteSchema.parse({ host, closed: closingReason(issue) });
+  const path = String(table.path);
+  return { ...buildRoute(name, parsed, defaults), path: path.startsWith('/') ? path : '' };
+}
+
+/** Whether two routes treat the calls that they match in the same way. */
+function isSameRoute(a: Route, b: Route): boolean {
+  return isDeepStrictEqual({ ...a, name: b.name }, b);
+}
+
 function buildOrganisation(
   name: string,
   { keys, priority, rate, burst }: z.output<typeof organisationSchema>,
@@ -360,6 +412,7 @@
   services: ReadonlyMap<ServiceName, Service>,
   route: Route,
 ): ValidationIssue[] {
+  if (route.closed !== undefined) return [];
   const { service, split } = sections.route.get(route.name)!.value as Record<string, unknown>;
   const key = split === undefined ? 'service' : 'split';
   if ((service === undefined) === (split === undefined)) {
@@ -376,33 +429,52 @@
     );
 }
 
-/** Reports invalid targets of routes, and routes that match the same host, path and method. */
-function* crossReferenceIssues(
+/**
+ * Finds invalid targets of routes, and routes that match the same host, path and method. Where faults close
+ * routes, those that treat their calls the same way may match the same ones.
+ */
+function* findRouteFaults(
   sections: Sections,
   services: ReadonlyMap<ServiceName, Service>,
   routes: readonly Route[],
-): Steps<ValidationIssue[]> {
-  const issues: ValidationIssue[] = [];
+  closes: boolean,
+): Steps<RouteFault[]> {
+  const faults: RouteFault[] = [];
   const routesByPath = new Map<string, Route[]>();
   yield* inSteps(routes, (route) => {
-    issues.push(...targetIssues(sections, services, route));
+    for (const issue of targetIssues(sections, services, route)) {
+      faults.push({ issue, routes: [route] });
+    }
     const hostAndPath = `${route.host ?? ''}${route.path}`;
     const samePath = routesByPath.get(hostAndPath) ?? [];
-    const conflicting = samePath.find(({ methods }) =>
-      route.methods.some((method) => methods.includes(method)),
+    const conflicting = samePath.find(
+      ({ methods, closed }) =>
+        (closed === undefined || route.closed === undefined) &&
+        route.methods.some((method) => methods.includes(method)),
     );
-    if (conflicting) {
-      issues.push(
-        routeIssue(sections, route, 'path', {
-          found: `"${route.path}"`,
-          expected: `a path and methods that route.${conflicting.name} doesn't match already`,
-        }),
-      );
+    if (conflicting && !(closes && isSameRoute(route, conflicting))) {
+      const issue = routeIssue(sections, route, 'path', {
+        found: `"${route.path}"`,
+        expected: `a path and methods that route.${conflicting.name} doesn't match already`,
+      });
+      faults.push({ issue, routes: [route, conflicting] });
     }
     samePath.push(route);
     routesByPath.set(hostAndPath, samePath);
   });
-  return issues;
+  return faults;
+}
+
+/** Closes the routes that can't be used. */
+function closeFaulty(routes: Route[], faults: readonly RouteFault[]): Route[] {
+  if (faults.length === 0) return routes;
+  const reasons = new Map<Route, string>();
+  for (const { issue, routes: concerned } of faults) {
+    for (const route of concerned) {
+      if (!reasons.has(route)) reasons.set(route, closingReason(issue));
+    }
+  }
+  return routes.map((route) => ({ ...route, closed: route.closed ?? reasons.get(route) }));
 }
 
 function provenance(sections: Sections): Provenance[] {
@@ -419,9 +491,13 @@
  * Merges and validates a folder as {@link mergeFolder} does, in steps of some files or entries.
  *
  * @param folder - Files in name order.
+ * @param invalidEntries - What becomes of invalid entries.
  * @returns The merged configuration, or all validation issues.
  */
-export function* mergeSteps(folder: Folder): Steps<MergeResult> {
+export function* mergeSteps(
+  folder: Folder,
+  invalidEntries: InvalidEntries = 'refuse',
+): Steps<MergeResult> {
   const sections: Sections = {
     service: new Map(),
     route: new Map(),
@@ -432,10 +508,13 @@
   };
   const issues: ValidationIssue[] = [];
   yield* inSteps(folder, (file) => issues.push(...collectEntries(file, sections)));
+  const closes = invalidEntries === 'close';
+  // A file that is not TOML could hold any entry.
+  if (closes && issues.some(({ key }) => key === undefined)) return { kind: 'invalid', issues };
   const defaults = parseDefaults(sections.defaults, issues);
   const limits = parseLimits(sections.limits, issues);
   const parsedServices = yield* parseEntries('service', sections.service, serviceSchema, issues);
-  const parsedRoutes = yield* parseEntries(
+  const parsedRoutes = yield* parseEntries<RouteSchema>(
     'route',
     sections.route,
     routeSchema,
@@ -450,29 +529,44 @@
   );
   const parsedRollouts = yield* parseEntries('rollout', sections.rollout, rolloutSchema, issues);
   const services = new Map(
-    [...parsedServices].map(([name, parsed]) => [name as ServiceName, buildService(name, parsed)]),
+    [...parsedServices.valid].map(([name, parsed]) => [
+      name as ServiceName,
+      buildService(name, parsed),
+    ]),
   );
-  const routes = [...parsedRoutes].map(([name, parsed]) => buildRoute(name, parsed, defaults));
-  const organisations = [...parsedOrganisations].map(([name, parsed]) =>
+  let routes = [...parsedRoutes.valid].map(([name, parsed]) => buildRoute(name, parsed, defaults));
+  const organisations = [...parsedOrganisations.valid].map(([name, parsed]) =>
     buildOrganisation(name, parsed),
   );
-  const rollouts = [...parsedRollouts].map(([name, parsed]) => buildRollout(name, parsed));
+  const rollouts = [...parsedRollouts.valid].map(([name, parsed]) => buildRollout(name, parsed));
+  if (closes) {
+    for (const [name, issue] of parsedRoutes.invalid) {
+      const { value } = sections.route.get(name)!;
+      routes.push(closeInvalidRoute(name, value, issue, defaults));
+    }
+  }
   // References are checked only if all entries are valid: otherwise an invalid service would be
   // reported a second time, as undeclared, by each route to it.
-  if (issues.length === 0) {
-    issues.push(...(yield* crossReferenceIssues(sections, services, routes)));
+  if (closes || issues.length === 0) {
+    const faults = yield* findRouteFaults(sections, services, routes, closes);
+    if (closes) routes = closeFaulty(routes, faults);
+    issues.push(...faults.map(({ issue }) => issue));
     issues.push(...sharedKeyIssues(sections, organisations));
     issues.push(...rolloutIssues(sections, services, rollouts));
   }
-  if (issues.length > 0) return { kind: 'invalid', issues };
+  if (issues.length > 0 && !closes) return { kind: 'invalid', issues };
   return {
     kind: 'valid',
-    leftOut: [],
+    faults: issues,
     configuration: {
       services,
       routes: new Map(routes.map((route) => [route.name, route])),
       organisations: new Map(organisations.map((entry) => [entry.name, entry])),
-      rollouts: new Map(rollouts.map((entry) => [entry.service, entry])),
+      rollouts: new Map(
+        rollouts
+          .filter(({ service }) => services.has(service))
+          .map((entry) => [entry.service, entry]),
+      ),
       retryBudget: defaults.retry_budget,
       limits,
       provenance: provenance(sections),
--- a/src/version/parseRoute.ts
+++ b/src/version/parseRoute.ts
@@ -1,7 +1,7 @@
 import type * as z from 'zod';
-import { PATH, routeSchema } from './configurationSchema';
+import { closedRouteSchema, PATH, routeSchema } from './configurationSchema';
 
-type ParsedRoute = z.output<typeof routeSchema>;
+type ParsedRoute = z.output<typeof routeSchema | typeof closedRouteSchema>;
 
 /** Schema of what routes have in common, often many of them. */
 const settingsSchema = routeSchema.omit({ path: true });
@@ -33,10 +33,11 @@
  * validated in full; a version may add thousands of them.
  *
  * @param value - The table.
- * @returns The result of `routeSchema`.
+ * @returns The result of `routeSchema`, or of `closedRouteSchema` for a closed route.
  */
 export default function parseRoute(value: unknown): z.ZodSafeParseResult<ParsedRoute> {
   const { path, ...settings } = value as Record<string, unknown>;
+  if (settings.closed !== undefined) return closedRouteSchema.safeParse(value);
   const parsed = typeof path === 'string' && PATH.test(path) ? parseSettings(settings) : undefined;
   return parsed
     ? { success: true, data: { ...parsed, path: path as string } }
--- a/src/version/requiredSchema.ts
+++ b/src/version/requiredSchema.ts
@@ -10,9 +10,9 @@
   return value === undefined || (typeof value === 'string' && NAME.test(value));
 }
 
-function isCommonRoute({ service, split }: Table): boolean {
+function isCommonRoute({ service, split, closed }: Table): boolean {
   return (
-    isName(service) && Object.keys((split ?? {}) as Table).every(isName)
+    closed === undefined && isName(service) && Object.keys((split ?? {}) as Table).every(isName)
   );
 }
 
