--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -43,6 +43,9 @@
 
   private readonly backlog: number | undefined;
 
+  /** Timeouts that hold where a version sets none, in milliseconds. */
+  private readonly timeouts: { readonly headerMs: number; readonly idleMs: number };
+
   /** @param options - Size limit of request heads, timeouts, and length of the accept queue. */
   public constructor({ backlog, ...options }: ListenerOptions = {}) {
     this.backlog = backlog;
@@ -50,6 +53,10 @@
       { noDelay: true, requireHostHeader: false, ...options },
       (message, response) => this.dispatch(message, response),
     );
+    this.timeouts = {
+      headerMs: this.server.headersTimeout,
+      idleMs: this.server.keepAliveTimeout,
+    };
     // server.close() calls this. Node's version also closes connections whose response is still being sent.
     this.server.closeIdleConnections = () => this.closeIdleConnections();
     this.server.on('connection', (socket) => this.registerConnection(socket));
@@ -61,12 +68,13 @@
   }
 
   /**
-   * @param headerTimeoutMs - Timeout for receiving the head of a request, in milliseconds.
-   * @param idleTimeoutMs - Idle timeout of a connection between requests, in milliseconds.
+   * @param headerTimeoutMs - Timeout for receiving the head of a request, in milliseconds; `undefined` for the
+   * listener's own.
+   * @param idleTimeoutMs - Idle timeout of a connection between requests, in the same form.
    */
-  public setTimeouts(headerTimeoutMs: number, idleTimeoutMs: number): void {
-    this.server.headersTimeout = headerTimeoutMs;
-    this.server.keepAliveTimeout = idleTimeoutMs;
+  public setTimeouts(headerTimeoutMs?: number, idleTimeoutMs?: number): void {
+    this.server.headersTimeout = headerTimeoutMs ?? this.timeouts.headerMs;
+    this.server.keepAliveTimeout = idleTimeoutMs ?? this.timeouts.idleMs;
   }
 
   /** @param handler - Handles every request from now on; before, they are rejected with status 503. */
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -606,7 +606,7 @@
 /** Applies the timeouts of each new version to the listener for callers. */
 function applyListenerTimeouts(versions: VersionStore, listener: Listener): void {
   versions.onActivate(({ configuration: { limits } }) => {
-    if (limits) listener.setTimeouts(limits.headerTimeoutMs, limits.idleTimeoutMs);
+    listener.setTimeouts(limits?.headerTimeoutMs, limits?.idleTimeoutMs);
   });
 }
 
--- a/src/version/Types.ts
+++ b/src/version/Types.ts
@@ -58,14 +58,14 @@
   readonly weight: number;
 }
 
-/** Limits on callers' requests and connections: sizes in bytes, and timeouts. */
+/** Limits on callers' requests and connections: sizes in bytes, and timeouts; the settings' if `undefined`. */
 export interface CallerLimits {
-  readonly maxHeaderBytes: number;
-  readonly maxBodyBytes: number;
+  readonly maxHeaderBytes: number | undefined;
+  readonly maxBodyBytes: number | undefined;
   /** Maximum time to receive the header of a request, in milliseconds. */
-  readonly headerTimeoutMs: number;
+  readonly headerTimeoutMs: number | undefined;
   /** Time after which a caller's idle connection is closed, in milliseconds. */
-  readonly idleTimeoutMs: number;
+  readonly idleTimeoutMs: number | undefined;
 }
 
 /** A service, as its `[service.NAME]` table declares it, with defaults applied. */
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -194,12 +194,14 @@
     .optional(),
 });
 
-/** Schema of the `[limits]` table. A later file replaces the whole table. */
+/**
+ * Schema of the `[limits]` table. A later file replaces the whole table. Up to schema 3, it has all keys.
+ */
 export const limitsSchema = z.strictObject({
-  max_header_bytes: integer(1, MAX_LIMIT_BYTES),
-  max_body_bytes: integer(0, MAX_LIMIT_BYTES),
-  header_timeout: durationMs(MAX_TIMEOUT_MS),
-  idle_timeout: durationMs(MAX_TIMEOUT_MS),
+  max_header_bytes: integer(1, MAX_LIMIT_BYTES).optional(),
+  max_body_bytes: integer(0, MAX_LIMIT_BYTES).optional(),
+  header_timeout: durationMs(MAX_TIMEOUT_MS).optional(),
+  idle_timeout: durationMs(MAX_TIMEOUT_MS).optional(),
 });
 
 /** Values of `[defaults]` keys that no file sets; the timeout is in milliseconds. */
--- a/src/version/requiredSchema.ts
+++ b/src/version/requiredSchema.ts
@@ -1,7 +1,16 @@
-import { COMMON_SCHEMA_NUMBER, NAME, PATH, SCHEMA_NUMBER } from './configurationSchema';
+import {
+  COMMON_SCHEMA_NUMBER,
+  limitsSchema,
+  NAME,
+  PATH,
+  SCHEMA_NUMBER,
+} from './configurationSchema';
 import { parseDocument } from './parsedDocuments';
 import type { Folder, FolderFile } from './Types';
 
+/** Number of the limits, all of which a table had up to schema 3. */
+const LIMIT_COUNT = Object.keys(limitsSchema.shape).length;
+
 type Table = Readonly<Record<string, unknown>>;
 
 const knownSchemas = new WeakMap<FolderFile, number>();
@@ -38,9 +47,11 @@
   const known = knownSchemas.get(file);
   if (known !== undefined) return known;
   const isCommon = Object.entries(parseDocument(file)).every(([section, table]) =>
-    Object.entries(table as Table).every(([name, entry]) =>
-      isCommonEntry(section, name, entry as Table),
-    ),
+    section === 'limits'
+      ? Object.keys(table as Table).length === LIMIT_COUNT
+      : Object.entries(table as Table).every(([name, entry]) =>
+          isCommonEntry(section, name, entry as Table),
+        ),
   );
   const schema = isCommon ? COMMON_SCHEMA_NUMBER : SCHEMA_NUMBER;
   knownSchemas.set(file, schema);
