Take a read for no proof while the newest configuration can't be decoded

Cause: such a record was passed over, and the read that found it counted as a proof that the version before is the newest.

Change: while the newest configuration in the store can't be decoded, a read proves nothing, so that keys are refused as not-run once the last proof is older than the bound. The offset that peers read from stays before that record, so that they find it themselves. The status names it. Calls without keys are served by the version in force.

Evidence: ConfigurationWatcher.test.ts fails with the added condition taken out, passes with it.

--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -174,9 +174,10 @@
     clock,
     () => Date.now(),
   );
+  const heads = new PeerHeadTracker(versions, clock, { log: () => undefined });
   const watcher = new ConfigurationWatcher(
     store,
-    new PeerHeadTracker(versions, clock, { log: () => undefined }),
+    heads,
     members,
     { readersPerZone: 1, readerZones: 1, staleMs: 60_000 },
     doubt,
@@ -196,7 +197,7 @@
     watcher.dispose();
     members.dispose();
   };
-  return { members, store, doubt, readsLog, proof, settle, finish };
+  return { members, store, doubt, readsLog, proof, heads, settle, finish };
 }
 
 /** Members of the same zone that all rank before this daemon, as their links are faster. */
@@ -263,6 +264,33 @@
   await reader.finish();
 });
 
+// Guards against keys that a newer configuration has removed, which can't be decoded here.
+test('a read proves nothing while the newest configuration cannot be decoded', async () => {
+  const unreadable = (next: number) => () => ({
+    configuration: undefined,
+    next: next as Offset,
+    unreadableAt: 4 as Offset,
+  });
+  const nothing = (next: number) => () => ({ configuration: undefined, next: next as Offset });
+  const reader = await watch(
+    [() => batch(7, 4), unreadable(5), nothing(5), () => batch(9, 6)],
+    [],
+    5_000,
+  );
+  const { store, proof, heads, settle, finish } = reader;
+  await settle(() => proof.current?.version === 7);
+  const provenAt = performance.now();
+  await settle(() => store.requests.length === 3);
+  await delay(5);
+  const sinceProof = performance.now() - provenAt;
+  assert.ok(proof.ageMs >= sinceProof, `${proof.ageMs}, ${sinceProof}`);
+  assert.equal([proof.current?.version, heads.knowledge.through], [7, 4]);
+  await settle(() => proof.current?.version === 9);
+  assert.equal(store.requests, ['newest', 'from 4', 'from 5', 'from 5']);
+  assert.is(heads.knowledge.through, 6);
+  await finish();
+});
+
 // Guards against a daemon that waits for its peers until its proof is too old.
 test('a daemon that is no reader reads for itself while its proof is old', async () => {
   const steps = [7, 8, 9].map((version) => () => batch(version, version - 3));
--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -96,6 +96,9 @@
 
   private lastCatchUpAt = -Infinity;
 
+  /** Offset of the newest configuration in the store if it can't be decoded. */
+  private unreadableAt: Offset | undefined;
+
   /** Newest version in the records of the store up to `nextOffset`; `undefined` if there is none. */
   private shownVersion: VersionNumber | undefined;
 
@@ -134,6 +137,7 @@
       reading: this.reason !== undefined,
       anchored: this.hasConfirmedRead,
       unknownSchema: undefined,
+      isNewestUnreadable: this.unreadableAt !== undefined,
       reads: this.reads,
       failures: this.failures,
       lastCheckpointAt: undefined,
@@ -275,12 +279,15 @@
       this.nextOffset = undefined;
       return false;
     }
+    this.noteUnreadable(batch);
     this.nextOffset = batch.next;
     this.noteShown(batch.configuration?.version);
     // Valid as soon as this version, or a newer one from a peer, is in force.
-    const isProof = askedAt && askedAt.monotonicMs >= this.provesFrom;
+    const isProof =
+      askedAt && askedAt.monotonicMs >= this.provesFrom && this.unreadableAt === undefined;
     if (isProof && this.shownVersion !== undefined) this.proof?.add(this.shownVersion, askedAt);
-    return this.apply(batch.configuration, batch.next);
+    // Peers that read from this offset on find the unreadable configuration themselves.
+    return this.apply(batch.configuration, this.unreadableAt ?? batch.next);
   }
 
   private read(signal: AbortSignal): Promise<ConfigurationBatch> {
@@ -294,6 +301,15 @@
     return this.store.changes(this.nextOffset, this.waitMs(), signal);
   }
 
+  /**
+   * A newest configuration that can't be decoded may have removed keys, so while there is one, a read of the
+   * store is no proof for the version before it.
+   */
+  private noteUnreadable({ configuration, unreadableAt }: ConfigurationBatch): void {
+    const isWhole = this.nextOffset === undefined;
+    if (isWhole || configuration || unreadableAt !== undefined) this.unreadableAt = unreadableAt;
+  }
+
   /** A version that removed a key may be among the records that were lost. */
   private noteRestore(): void {
     this.provesFrom = this.clock.now() + RESTORE_SETTLE_MS;
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -86,6 +86,8 @@
   readonly configuration: PublishedConfiguration | undefined;
   /** Offset in the store at which the next read starts. */
   readonly next: Offset;
+  /** Offset of the newest configuration in the range read if it can't be decoded. */
+  readonly unreadableAt?: Offset | undefined;
 }
 
 /** A store that always retains the newest complete configuration. */
@@ -158,6 +160,8 @@
   readonly anchored: boolean;
   /** Schema number of a log record that this release can't read; `undefined` if none was found. */
   readonly unknownSchema: number | undefined;
+  /** Whether the newest configuration of the store can't be decoded, so that nothing is known of its keys. */
+  readonly isNewestUnreadable?: boolean;
   readonly reads: number;
   readonly failures: number;
   /** Monotonic time in ms at which the latest checkpoint was read; `undefined` if none was. */
--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -191,7 +191,7 @@
 
   private problems(): string[] {
     const { heads, logReader, settings, members, overlay } = this.dependencies;
-    const { unknownSchema, failures, reading } = logReader.state;
+    const { unknownSchema, isNewestUnreadable, failures, reading } = logReader.state;
     const age = this.knowledgeAgeMs();
     const problems: string[] = [];
     if (!heads.head) problems.push('no configuration is in force');
@@ -206,6 +206,11 @@
         `refuses keys: the proof of the version in force is ${this.proofAgeMs() ?? 'infinitely many'} ms old`,
       );
     }
+    if (isNewestUnreadable) {
+      problems.push(
+        "the newest configuration of the store can't be decoded; an older one is in force",
+      );
+    }
     if (unknownSchema !== undefined) {
       problems.push(`a record of schema ${unknownSchema} can't be read`);
     }
