Compare hosts with their ports, in one way

Calls to a port without routes ran too.

Cause: RouteTable removed the ports from routes and calls, and the search for conflicts compared hosts with them, so that two routes had one key and the first by name won. The class is a key that is normalised at its use and not at its check.

A host without a port stays one for all ports, as folders rely on it; a host with one is for that port, and goes before it. Literal addresses without brackets lost their last group, and text beyond ASCII could not be a host.

Change: PortAwareHosts is the one place that both sides use: the index of routes, the search for conflicts of accepted configurations and the warnings of check. Versions of schema 3 and below go on without ports (PortlessHosts), so that a folder that is in force changes with its next publication only, and daemons of both releases agree.

Looked through for the same: paths and names of services are compared as text on both sides.

--- a/src/common/headerText.ts
+++ b/src/common/headerText.ts
@@ -1,11 +1,22 @@
+/**
+ * Text in HTTP headers. The characters of a header's value stand for its bytes, which are those of UTF-8.
+ *
+ * @packageDocumentation
+ */
 const ASCII = /^[\x20-\x7e]*$/;
 
 /**
- * Encodes a name for an HTTP header, whose characters are sent as single bytes.
- *
  * @param text - Printable text without spaces at its ends.
- * @returns The value whose bytes are the UTF-8 bytes of the text.
+ * @returns The value of a header that holds it.
  */
-export default function headerText(text: string): string {
+export function encodeHeader(text: string): string {
   return ASCII.test(text) ? text : Buffer.from(text).toString('latin1');
 }
+
+/**
+ * @param value - The value of a header.
+ * @returns The text that it holds.
+ */
+export function decodeHeader(value: string): string {
+  return ASCII.test(value) ? value : Buffer.from(value, 'latin1').toString();
+}
--- a/src/request/callHeaders.ts
+++ b/src/request/callHeaders.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from 'node:http';
-import headerText from '../common/headerText';
+import { encodeHeader } from '../common/headerText';
 import type { InstanceId, RequestId } from '../common/Types';
 import type { AttemptContext, CallRequest, HeaderNames } from './Types';
 
@@ -135,8 +135,8 @@
     ATTEMPTS_HEADER,
     String(context.attempts),
   ];
-  if (context.callerService) headers.push(names.callerService, headerText(context.callerService));
-  if (context.organisation) headers.push(names.organisation, headerText(context.organisation));
+  if (context.callerService) headers.push(names.callerService, encodeHeader(context.callerService));
+  if (context.organisation) headers.push(names.organisation, encodeHeader(context.organisation));
   if (instance) headers.push(names.expectedInstance, instance);
   return headers;
 }
--- a/src/version/IndexedSnapshot.ts
+++ b/src/version/IndexedSnapshot.ts
@@ -1,4 +1,7 @@
 import type { KeyDigest } from '../common/Types';
+import { PORT_AWARE_SCHEMA_NUMBER } from './configurationSchema';
+import PortAwareHosts from './PortAwareHosts';
+import PortlessHosts from './PortlessHosts';
 import RouteTable from './RouteTable';
 import type {
   ClosedEntry,
@@ -26,7 +29,9 @@
     public readonly faults: readonly ValidationIssue[],
   ) {
     const routes = [...configuration.routes.values()];
-    this.routeTable = new RouteTable(routes);
+    const hosts =
+      head.schema < PORT_AWARE_SCHEMA_NUMBER ? new PortlessHosts() : new PortAwareHosts();
+    this.routeTable = new RouteTable(routes, hosts);
     this.closed = routes.flatMap(({ name, closed }) =>
       closed === undefined ? [] : [{ entry: `route.${name}`, reason: closed }],
     );
--- a/src/version/RouteTable.ts
+++ b/src/version/RouteTable.ts
@@ -1,11 +1,30 @@
-import type { Route } from './Types';
+import type { HostMatching, Route } from './Types';
 
-/** Map key of the routes that match every host; no real host name is empty. */
-const ANY_HOST = '';
+/** Maximum number of Host headers whose routes are remembered; then all are forgotten. */
+const MAX_REMEMBERED = 1_024;
 
-/** Lowercases a host name and removes its port, as routes match host names regardless of both. */
-function normalizeHost(host: string): string {
-  return host.toLowerCase().replace(/:\d+$/, '');
+/** Routes of a host by path. */
+type Paths = ReadonlyMap<string, readonly Route[]>;
+
+function addRoute(paths: Map<string, Route[]>, route: Route): void {
+  const samePath = paths.get(route.path);
+  if (samePath) samePath.push(route);
+  else paths.set(route.path, [route]);
+}
+
+function longestMatch(paths: Paths | undefined, method: string, path: string): Route | undefined {
+  if (!paths) return undefined;
+  const routeAt = (prefix: string) =>
+    paths.get(prefix)?.find(({ methods }) => methods.includes(method));
+  // Tries shorter and shorter prefixes, such as `/a/b`, `/a/`, `/a`, `/`.
+  for (let prefix = path; prefix !== '';) {
+    const route = routeAt(prefix);
+    if (route) return route;
+    prefix = prefix.endsWith('/')
+      ? prefix.slice(0, -1)
+      : prefix.slice(0, prefix.lastIndexOf('/') + 1);
+  }
+  return routeAt('');
 }
 
 /**
@@ -15,15 +34,28 @@
 export default class RouteTable {
   private readonly routesByHost = new Map<string, Map<string, Route[]>>();
 
-  /** @param routes - Routes of a valid configuration, no two of which match the same calls. */
-  public constructor(routes: Iterable<Route>) {
+  /** Routes that match every host. */
+  private readonly anyHost = new Map<string, Route[]>();
+
+  /** Routes by Host header, as few different ones come. */
+  private readonly remembered = new Map<string, Paths | undefined>();
+
+  /**
+   * @param routes - Routes of a valid configuration, no two of which match the same calls.
+   * @param hosts - Decides which calls the hosts of the routes match.
+   */
+  public constructor(
+    routes: Iterable<Route>,
+    private readonly hosts: HostMatching,
+  ) {
     for (const route of routes) {
-      const host = route.host === undefined ? ANY_HOST : normalizeHost(route.host);
-      const paths = this.routesByHost.get(host) ?? new Map<string, Route[]>();
-      this.routesByHost.set(host, paths);
-      const samePath = paths.get(route.path);
-      if (samePath) samePath.push(route);
-      else paths.set(route.path, [route]);
+      if (route.host === undefined) addRoute(this.anyHost, route);
+      else {
+        const key = hosts.routeKey(route.host);
+        const paths = this.routesByHost.get(key) ?? new Map<string, Route[]>();
+        this.routesByHost.set(key, paths);
+        addRoute(paths, route);
+      }
     }
   }
 
@@ -35,24 +67,16 @@
    */
   public match(method: string, host: string, path: string): Route | undefined {
     return (
-      this.longestMatch(normalizeHost(host), method, path) ??
-      this.longestMatch(ANY_HOST, method, path)
+      longestMatch(this.routesOf(host), method, path) ?? longestMatch(this.anyHost, method, path)
     );
   }
 
-  private longestMatch(host: string, method: string, path: string): Route | undefined {
-    const paths = this.routesByHost.get(host);
-    if (!paths) return undefined;
-    const routeAt = (prefix: string) =>
-      paths.get(prefix)?.find(({ methods }) => methods.includes(method));
-    // Tries shorter and shorter prefixes, such as `/a/b`, `/a/`, `/a`, `/`.
-    for (let prefix = path; prefix !== '';) {
-      const route = routeAt(prefix);
-      if (route) return route;
-      prefix = prefix.endsWith('/')
-        ? prefix.slice(0, -1)
-        : prefix.slice(0, prefix.lastIndexOf('/') + 1);
-    }
-    return routeAt('');
+  private routesOf(host: string): Paths | undefined {
+    if (this.remembered.has(host)) return this.remembered.get(host);
+    const key = this.hosts.callKeys(host).find((candidate) => this.routesByHost.has(candidate));
+    const paths = key === undefined ? undefined : this.routesByHost.get(key);
+    if (this.remembered.size >= MAX_REMEMBERED) this.remembered.clear();
+    this.remembered.set(host, paths);
+    return paths;
   }
 }
--- a/src/version/Types.ts
+++ b/src/version/Types.ts
@@ -144,6 +144,20 @@
   readonly durationMs: number;
 }
 
+/** Decides which calls the hosts of routes match; both sides are compared by the keys that it returns. */
+export interface HostMatching {
+  /**
+   * @param host - Host of a route.
+   * @returns Its key.
+   */
+  routeKey(host: string): string;
+  /**
+   * @param host - Host header of a call.
+   * @returns Keys of the hosts whose routes the call may take; the first that has routes decides.
+   */
+  callKeys(host: string): readonly string[];
+}
+
 /** The file that a merged entry comes from. */
 export interface Provenance {
   /**
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -17,6 +17,9 @@
  */
 export const COMMON_SCHEMA_NUMBER = 3;
 
+/** Schema number from which on the ports of hosts count. */
+export const PORT_AWARE_SCHEMA_NUMBER = 4;
+
 const MAX_SLOTS = 10_000;
 export const MAX_CONNECTIONS = 10_000;
 const MAX_QUEUE = 100_000;
@@ -45,7 +48,10 @@
 export const ORGANISATION_NAME = /^[\w.@:-]{1,128}$/;
 const KEY_DIGEST = /^[0-9a-f]{64}$/;
 const SOFTWARE_VERSION = /^[\x21-\x7e]{1,128}$/;
-const HOST = /^[a-z0-9.[\]:-]{1,255}$/;
+/** Pattern of the hosts of routes up to schema 3. */
+export const COMMON_HOST = /^[a-z0-9.[\]:-]{1,255}$/;
+/** Pattern of the hosts of routes: any text without upper-case letters that a Host header can hold. */
+const HOST = /^(?=.{1,255}$)(?! )[^\p{Cc}\p{Cs}\p{Zl}\p{Zp}\p{Lu}]*(?<! )$/u;
 
 /** Methods that a route may list; a route without a list allows all of them. */
 export const METHODS = ['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH'] as const;
--- a/src/version/configurationWarnings.ts
+++ b/src/version/configurationWarnings.ts
@@ -4,12 +4,15 @@
  * @packageDocumentation
  */
 import { parseDocument } from './parsedDocuments';
+import PortAwareHosts from './PortAwareHosts';
 import { formatValue, locateLine } from './validationIssues';
 import type { Configuration, Folder, Organisation, Route, Service, ValidationIssue } from './Types';
 
 /** A service that gets less than this share of a split is practically left out of it. */
 const MIN_SPLIT_SHARE = 0.0001;
 
+const HOSTS = new PortAwareHosts();
+
 /** Creates the warning for a key of an entry, with the file and the line that set it. */
 type Warn = (entry: string, key: string, found: string, expected: string) => ValidationIssue;
 
@@ -81,12 +84,12 @@
   }
 }
 
-/** Hosts are matched without their ports, so two routes that differ in nothing else collide. */
+/** Two routes whose hosts differ in their spelling only, such as `a:` and `a`, match the same calls. */
 function* shadowWarnings(routes: Iterable<Route>, warn: Warn) {
   const routesByMatch = new Map<string, Route>();
   for (const route of routes) {
     for (const method of route.methods) {
-      const host = route.host?.replace(/:\d+$/, '') ?? '';
+      const host = route.host === undefined ? '' : HOSTS.routeKey(route.host);
       const match = `${method} ${host}${route.path}`;
       const first = routesByMatch.get(match) ?? route;
       routesByMatch.set(match, first);
@@ -95,7 +98,7 @@
           `route.${route.name}`,
           'host',
           formatValue(route.host),
-          `another host or path than route.${first.name}, which gets all ${method} calls: ports don't count`,
+          `another host or path than route.${first.name}, which gets all ${method} calls`,
         );
         break;
       }
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -37,6 +37,7 @@
 } from './configurationSchema';
 import { parseDocument } from './parsedDocuments';
 import parseRoute from './parseRoute';
+import PortAwareHosts from './PortAwareHosts';
 import { formatValue, locateLine, schemaIssues } from './validationIssues';
 import type {
   CallerLimits,
@@ -112,6 +113,8 @@
   rollout: { pattern: SERVICE_NAME, schema: serviceNameSchema },
 } as const;
 
+const HOSTS = new PortAwareHosts();
+
 /** Map key of the merged `[limits]` table, which has no name of its own. */
 const LIMITS_KEY = 'limits';
 
@@ -441,11 +444,13 @@
 ): Steps<RouteFault[]> {
   const faults: RouteFault[] = [];
   const routesByPath = new Map<string, Route[]>();
+  // The releases that wrote schema 3 and below accept a folder whose routes differ in the spelling of the host.
+  const hostKey = (host: string) => (closes ? HOSTS.routeKey(host) : host);
   yield* inSteps(routes, (route) => {
     for (const issue of targetIssues(sections, services, route)) {
       faults.push({ issue, routes: [route] });
     }
-    const hostAndPath = `${route.host ?? ''}${route.path}`;
+    const hostAndPath = `${route.host === undefined ? '' : hostKey(route.host)}${route.path}`;
     const samePath = routesByPath.get(hostAndPath) ?? [];
     const conflicting = samePath.find(
       ({ methods, closed }) =>
--- a/src/version/requiredSchema.ts
+++ b/src/version/requiredSchema.ts
@@ -1,4 +1,5 @@
 import {
+  COMMON_HOST,
   COMMON_SCHEMA_NUMBER,
   limitsSchema,
   NAME,
@@ -19,9 +20,20 @@
   return value === undefined || (typeof value === 'string' && NAME.test(value));
 }
 
-function isCommonRoute({ service, split, closed }: Table): boolean {
+/** Whether a host matches the same calls whether ports count or not. */
+function isCommonHost(host: unknown): boolean {
   return (
-    closed === undefined && isName(service) && Object.keys((split ?? {}) as Table).every(isName)
+    host === undefined ||
+    (typeof host === 'string' && COMMON_HOST.test(host) && !host.includes(':'))
+  );
+}
+
+function isCommonRoute({ host, service, split, closed }: Table): boolean {
+  return (
+    closed === undefined &&
+    isCommonHost(host) &&
+    isName(service) &&
+    Object.keys((split ?? {}) as Table).every(isName)
   );
 }
 
