Keep keys required and organisations closed where they can't be represented

Beside a plain tenant, the others got 401 for their keys in force.

Cause: names of organisations had no spaces, the file of the tenant was left out, and no organisation at all counted as a configuration without keys. Two entries of one name kept the keys of one, a key of two tenants took the second out of force with its other keys, and keys beyond ASCII never matched, as their bytes were decoded in two ways.

Change: organisations have names as services do, sent as UTF-8. That keys are required is a property of the version: it is written down ([access], schema 4) where no organisation shows it. An organisation that can't be used is closed: calls with its keys are refused at once as not-run. If some keys aren't known, unknown ones are not-run in place of 401. A key of two organisations is refused as not-run, their others hold. Keys are compared by their UTF-8 bytes. A rate that can't be decoded closes the tenant, as it is no sign that there is no limit.

--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -170,7 +170,7 @@
   const versions = new VersionStore(mergeSteps, clock);
   const proof = new FreshnessProof(
     () => versions.snapshot?.head.version ?? null,
-    { boundMs, hasOrganisations: () => boundMs > 0 },
+    { boundMs, checksKeys: () => boundMs > 0 },
     clock,
     () => Date.now(),
   );
--- a/src/connection/FreshnessProof.test.ts
+++ b/src/connection/FreshnessProof.test.ts
@@ -20,7 +20,7 @@
 
   public readonly proof = new FreshnessProof(
     () => this.inForce,
-    { boundMs: BOUND_MS, hasOrganisations: () => true },
+    { boundMs: BOUND_MS, checksKeys: () => true },
     this.monotonic,
     () => this.timeOfDayMs,
   );
@@ -204,7 +204,7 @@
   const daemons = Array.from({ length: size }, (_, index) => ({
     proof: new FreshnessProof(
       () => v(7),
-      { boundMs: BOUND_MS, hasOrganisations: () => true },
+      { boundMs: BOUND_MS, checksKeys: () => true },
       clock,
       () => clock.now(),
     ),
--- a/src/connection/FreshnessProof.ts
+++ b/src/connection/FreshnessProof.ts
@@ -22,7 +22,7 @@
   /** Time in ms after its revocation for which a key may still be accepted. */
   readonly boundMs: number;
   /** Whether the version in force holds organisations, so that keys are checked. */
-  readonly hasOrganisations: () => boolean;
+  readonly checksKeys: () => boolean;
 }
 
 /**
@@ -90,7 +90,7 @@
 
   /** Whether keys are checked, so that the proof has to be kept young. */
   public get isNeeded(): boolean {
-    return this.options.hasOrganisations();
+    return this.options.checksKeys();
   }
 
   /**
--- a/src/process/DaemonMetrics.ts
+++ b/src/process/DaemonMetrics.ts
@@ -12,7 +12,7 @@
 const MS_PER_SECOND = 1_000;
 /** Number of organisations with metrics of their own; the calls of others are counted together. */
 const MAX_ORGANISATIONS = 100;
-/** Label of the organisations without metrics of their own; no organisation can have this name. */
+/** Label of the organisations without metrics of their own; one of this name is counted with them. */
 const OTHER_ORGANISATIONS = '(other)';
 /**
  * Part of the names of the metrics library's own event loop lag metrics, which `loop_lag_seconds`
--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -139,7 +139,7 @@
       service: services[0] ?? null,
       services,
       idempotent: route && isIdempotent(route, method),
-      needsKey: route !== null && !route.isPublic && this.organisations().length > 0,
+      needsKey: route !== null && !route.isPublic && (configuration?.keysRequired ?? false),
       organisations: this.organisations(),
       proofAgeMs: this.proofAgeMs(),
       upstreams: targets.flatMap((name) => members.upstreams(name)),
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -8,7 +8,7 @@
 import * as z from 'zod';
 import { DURATION_EXPECTED, parseDuration } from '../common/parseDuration';
 import type { Address, DaemonId, FileName, ServiceName, ZoneName } from '../common/Types';
-import { SERVICE_NAME, serviceNameSchema } from '../version/configurationSchema';
+import { PRINTABLE_NAME, printableNameSchema } from '../version/configurationSchema';
 import { formatIssue, schemaIssues } from '../version/validationIssues';
 import SettingsError from './SettingsError';
 
@@ -53,7 +53,7 @@
 const name = z
   .string({ error: 'a name' })
   .max(MAX_NAME_LENGTH, { error: `a name of at most ${MAX_NAME_LENGTH} characters` })
-  .regex(SERVICE_NAME, { error: 'a name of printable characters without spaces at its ends' });
+  .regex(PRINTABLE_NAME, { error: 'a name of printable characters without spaces at its ends' });
 
 const settingsSchema = z.strictObject({
   daemon: z.strictObject({
@@ -64,7 +64,7 @@
     control: address,
     advertise: address.optional(),
     ready: address.optional(),
-    service: serviceNameSchema.transform((value) => value as ServiceName).optional(),
+    service: printableNameSchema.transform((value) => value as ServiceName).optional(),
     drain: duration('30s'),
     leave: duration('500ms'),
     link_mbps: z.number({ error: LINK_EXPECTED }).positive({ error: LINK_EXPECTED }).optional(),
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -284,7 +284,7 @@
   if (boundMs === undefined) return undefined;
   const options = {
     boundMs,
-    hasOrganisations: () => (versions.snapshot?.configuration.organisations.size ?? 0) > 0,
+    checksKeys: () => versions.snapshot?.configuration.keysRequired ?? false,
   };
   const inForce = () => versions.snapshot?.head.version ?? null;
   return new FreshnessProof(inForce, options, clock, () => Date.now());
--- a/src/request/Authenticator.test.ts
+++ b/src/request/Authenticator.test.ts
@@ -95,6 +95,38 @@
   assert.not.match(describe('', false), /401/);
 });
 
+// Guards against calls that run without a key, as the last organisation was removed or could not be decoded.
+test('keys stay required without any organisation if the folder says so', () => {
+  assert.snapshot(
+    describe('[access]\nkeys = "required"\n', false),
+    `/private undefined: 401, the route needs a key
+/private key-a: 401, the key is not known
+/private key-b, key-b: 401, the key is not known
+/private : 401, the key is not known
+/public undefined: none
+/public key-a: none
+/public key-b, key-b: none
+/public : none`,
+  );
+});
+
+// Guards against calls that run for another organisation or for none, and against 401 for those who are entitled.
+test('a key whose organisation is closed or not known for sure is refused as not run', () => {
+  const closed = ORGANISATION.replace('\n', '\nclosed = "no name"\n');
+  const incomplete = `[organisation.part]\nkeys = []\nincomplete = true\nclosed = "unreadable"\n`;
+  assert.snapshot(
+    describe(`${closed}${incomplete}`, false),
+    `/private undefined: 401, the route needs a key
+/private key-a: not run, not ready, the organisation of the key is closed: no name
+/private key-b, key-b: not run, not ready, the key is not known, but some organisations are incomplete here
+/private : not run, not ready, the key is not known, but some organisations are incomplete here
+/public undefined: none
+/public key-a: not run, not ready, the organisation of the key is closed: no name
+/public key-b, key-b: none
+/public : none`,
+  );
+});
+
 test('with an old proof calls with a key are refused, and those without one on public routes are not', () => {
   const proof = { isFresh: false, ageMs: 6_000 };
   const old =
--- a/src/request/Authenticator.ts
+++ b/src/request/Authenticator.ts
@@ -1,3 +1,4 @@
+import { decodeHeader } from '../common/headerText';
 import type { Clock, Logger, OrganisationName } from '../common/Types';
 import type { CurrentVersion, Organisation, Route } from '../version/Types';
 import keyDigest from '../version/keyDigest';
@@ -53,17 +54,32 @@
    * @param key - Key that the caller sent; `undefined` if it sent none.
    * @returns The organisation that holds the key; `undefined` if the call needs none and has none.
    * @throws RequestError - The route needs a key, and no organisation holds this one.
-   * @throws NotRunError - The same, but a newer configuration may hold it; or the key may have been revoked.
+   * @throws NotRunError - The same, but a newer configuration may hold it; or the key may have been revoked; or
+   * it can't be told whose key it is, or what may be run for it.
    */
   public authenticate(route: Route, key: string | undefined): Organisation | undefined {
     const { snapshot } = this.services.versions;
-    if (!snapshot || snapshot.configuration.organisations.size === 0) return undefined;
-    const organisation = key === undefined ? undefined : snapshot.organisationOf(keyDigest(key));
-    if (!organisation && route.isPublic) return undefined;
+    if (!snapshot?.configuration.keysRequired) return undefined;
+    const digest = key === undefined ? undefined : keyDigest(decodeHeader(key));
+    const organisation = digest === undefined ? undefined : snapshot.organisationOf(digest);
+    const isShared = digest !== undefined && snapshot.configuration.sharedKeys.has(digest);
+    if (!organisation && !isShared && route.isPublic) return undefined;
     if (key !== undefined) this.checkProof(organisation);
+    if (isShared) this.refuseClosed('several organisations hold the key');
+    if (organisation?.closed !== undefined) {
+      this.refuseClosed(`the organisation of the key is closed: ${organisation.closed}`);
+    }
+    if (!organisation && key !== undefined && snapshot.hasIncompleteOrganisation) {
+      this.refuseClosed('the key is not known, but some organisations are incomplete here');
+    }
     return organisation ?? this.refuse(route, key === undefined ? 'missing' : 'unknown');
   }
 
+  private refuseClosed(reason: string): never {
+    this.services.onKeyRefused('closed');
+    throw new NotRunError(reason, { daemonNotReady: true });
+  }
+
   private refuse(route: Route, reason: 'missing' | 'unknown'): never {
     const { awaitsNewerVersion, onKeyRefused } = this.services;
     onKeyRefused(reason);
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -90,7 +90,7 @@
 }
 
 /** Why a call was refused for its key: it has none, an unknown one, or the proof is too old. */
-export type KeyRefusal = 'missing' | 'unknown' | 'proof';
+export type KeyRefusal = 'missing' | 'unknown' | 'proof' | 'closed';
 
 /** Outcome of a call as reported to its caller; `unknown` means that the call may have run. */
 export type Outcome = 'answered' | 'not-run' | 'unknown';
--- a/src/request/fairShares.replay.test.ts
+++ b/src/request/fairShares.replay.test.ts
@@ -42,7 +42,7 @@
 }
 
 /** Queue of an upstream with 18 slots, 180 calls a second, to which 320 a second are sent. */
-async function replayQueue(hasOrganisations: boolean): Promise<Shares> {
+async function replayQueue(checksKeys: boolean): Promise<Shares> {
   const timeline = new VirtualTimeline();
   const { clock } = timeline;
   const random = new SeededRandom(7);
@@ -56,7 +56,7 @@
     increment(arrived, organisation);
     try {
       const release = await admission.acquire(
-        hasOrganisations ? { ...request, organisation } : request,
+        checksKeys ? { ...request, organisation } : request,
         new AbortController().signal,
       );
       await timeline.until(clock.now() + WORK_MS);
@@ -84,7 +84,7 @@
 });
 
 /** Throttle of a daemon whose route gets 150 slots a second for 320 calls. */
-function replayThrottle(hasOrganisations: boolean): Shares {
+function replayThrottle(checksKeys: boolean): Shares {
   const clock = new ManualClock();
   const random = new SeededRandom(9);
   const throttle = new AdaptiveThrottle(clock, random);
@@ -97,7 +97,7 @@
     const organisation = arrival(random);
     if (!organisation) continue;
     increment(arrived, organisation);
-    if (throttle.shouldReject(hasOrganisations ? organisation : undefined)) continue;
+    if (throttle.shouldReject(checksKeys ? organisation : undefined)) continue;
     increment(served, organisation);
     if (free >= 1) {
       free -= 1;
--- a/src/version/Types.ts
+++ b/src/version/Types.ts
@@ -133,6 +133,10 @@
   readonly priority: Priority | undefined;
   /** Limit on its calls; `undefined` if there is none. */
   readonly quota: Quota | undefined;
+  /** Whether it has further keys, which aren't known here. */
+  readonly isIncomplete: boolean;
+  /** Why calls with its keys are refused; `undefined` if they aren't. */
+  readonly closed: string | undefined;
 }
 
 /** An operator's order to move the calls of a service to upstreams of another software version. */
@@ -162,7 +166,7 @@
 export interface Provenance {
   /**
    * Name of the entry: `service.NAME`, `route.NAME`, `organisation.NAME`, `rollout.SERVICE`,
-   * `defaults.KEY` or `limits`.
+   * `defaults.KEY`, `limits` or `access`.
    */
   readonly key: string;
   readonly file: FileName;
@@ -174,8 +178,11 @@
 export interface Configuration {
   readonly services: ReadonlyMap<ServiceName, Service>;
   readonly routes: ReadonlyMap<RouteName, Route>;
-  /** Organisations by name. If there are any, calls on routes that aren't public need a key of one. */
   readonly organisations: ReadonlyMap<OrganisationName, Organisation>;
+  /** Whether calls on routes that aren't public need the key of an organisation, even if there is none. */
+  readonly keysRequired: boolean;
+  /** Keys that several organisations hold, so that it can't be told whose calls they are. */
+  readonly sharedKeys: ReadonlySet<KeyDigest>;
   readonly rollouts: ReadonlyMap<ServiceName, Rollout>;
   /** Maximum number of retries and hedges, as a share of the number of all calls, from 0 to 1. */
   readonly retryBudget: number;
@@ -278,6 +285,8 @@
   readonly faults: readonly ValidationIssue[];
   /** Entries whose calls are refused. */
   readonly closed: readonly ClosedEntry[];
+  /** Whether some organisation has keys that aren't known here. */
+  readonly hasIncompleteOrganisation: boolean;
   /** Lowest latency objective of all routes, in milliseconds. */
   readonly shortestObjectiveMs: number;
   /**
--- a/src/version/configurationDifferences.ts
+++ b/src/version/configurationDifferences.ts
@@ -12,7 +12,8 @@
 
 /** Lists the entries of a configuration by name. */
 function entriesOf(configuration: Configuration): Map<string, object> {
-  const { services, routes, organisations, rollouts, limits, retryBudget } = configuration;
+  const { services, routes, organisations, rollouts, limits, retryBudget, keysRequired } =
+    configuration;
   const entries = new Map<string, object>([['defaults.retry_budget', { retryBudget }]]);
   for (const [name, service] of services) entries.set(`service.${name}`, service);
   for (const [name, route] of routes) entries.set(`route.${name}`, route);
@@ -21,6 +22,7 @@
   }
   for (const [service, rollout] of rollouts) entries.set(`rollout.${service}`, rollout);
   if (limits) entries.set('limits', limits);
+  if (keysRequired) entries.set('access', { keys: 'required' });
   return entries;
 }
 
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -36,16 +36,18 @@
 /** Pattern of the names of routes, and of services up to schema 3. */
 export const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
 /**
- * Pattern of the names of services, which are sent to upstreams in a header: printable characters without
- * spaces at the ends, which HTTP would remove. `__proto__` can't be a key of the tables that hold weights.
+ * Pattern of the names of services and organisations, which are sent to upstreams in headers: printable
+ * characters without spaces at the ends, which HTTP would remove. `__proto__` can't be a key of the tables
+ * that hold weights.
  */
-export const SERVICE_NAME = /^(?!__proto__$)(?=.{1,255}$)(?! )[^\p{Cc}\p{Cs}\p{Zl}\p{Zp}]*(?<! )$/u;
+export const PRINTABLE_NAME =
+  /^(?!__proto__$)(?=.{1,255}$)(?! )[^\p{Cc}\p{Cs}\p{Zl}\p{Zp}]*(?<! )$/u;
 /** Paths of routes, and of health checks up to schema 3. */
 export const PATH = /^\/[^\s?#]*$/;
 /** Paths of health checks, which may have a query. */
 export const HEALTH_PATH = /^\/[\x21\x22\x24-\x7e]*$/;
-/** Pattern of the names of organisations, which are sent to upstreams in a header. */
-export const ORGANISATION_NAME = /^[\w.@:-]{1,128}$/;
+/** Pattern of the names of organisations up to schema 3. */
+export const COMMON_ORGANISATION_NAME = /^[\w.@:-]{1,128}$/;
 const KEY_DIGEST = /^[0-9a-f]{64}$/;
 const SOFTWARE_VERSION = /^[\x21-\x7e]{1,128}$/;
 /** Pattern of the hosts of routes up to schema 3. */
@@ -78,8 +80,8 @@
   error: 'a name of lower-case letters, digits and hyphens, at most 63 long',
 });
 
-/** Schema of the names of services. */
-export const serviceNameSchema = z.string().regex(SERVICE_NAME, {
+/** Schema of the names of services and organisations. */
+export const printableNameSchema = z.string().regex(PRINTABLE_NAME, {
   error: 'a name of printable characters without spaces at its ends, at most 255 long',
 });
 
@@ -114,10 +116,10 @@
     .string({ error: 'a host name' })
     .regex(HOST, { error: 'a host name in lower case' })
     .optional(),
-  service: serviceNameSchema.optional(),
+  service: printableNameSchema.optional(),
   split: z
     .record(
-      serviceNameSchema,
+      printableNameSchema,
       z.number({ error: splitExpected }).positive({ error: splitExpected }),
       {
         error: splitExpected,
@@ -163,11 +165,6 @@
   .min(0, { error: quotaExpected })
   .max(MAX_QUOTA, { error: quotaExpected });
 
-/** Schema of the names of organisations. */
-export const organisationNameSchema = z.string().regex(ORGANISATION_NAME, {
-  error: 'a name of letters, digits and the characters _.@:-, at most 128 long',
-});
-
 /** Schema of an `[organisation.NAME]` table. */
 export const organisationSchema = z.strictObject({
   keys: z.array(z.string({ error: keysExpected }).regex(KEY_DIGEST, { error: keysExpected }), {
@@ -176,6 +173,13 @@
   priority: integer(0, MAX_PRIORITY).optional(),
   rate: quotaNumber.default(0),
   burst: quotaNumber.default(0),
+  incomplete: boolean.default(false),
+  closed: closedSchema,
+});
+
+/** Schema of the `[access]` table. */
+export const accessSchema = z.strictObject({
+  keys: z.literal('required', { error: '"required"' }),
 });
 
 /** Schema of a `[route.NAME]` table with the key `closed`; without a path it is for those of no other route. */
--- a/src/version/configurationWarnings.ts
+++ b/src/version/configurationWarnings.ts
@@ -106,8 +106,12 @@
   }
 }
 
-function* organisationWarnings({ name, keys, quota }: Organisation, burst: number, warn: Warn) {
+function* organisationWarnings(organisation: Organisation, burst: number, warn: Warn) {
+  const { name, keys, quota, closed } = organisation;
   const entry = `organisation.${name}`;
+  if (closed !== undefined) {
+    yield warn(entry, 'closed', formatValue(closed), 'nothing: calls with its keys are refused');
+  }
   if (keys.length === 0) {
     yield warn(entry, 'keys', 'no key', 'at least one: without it nobody can call for it');
   }
@@ -121,7 +125,7 @@
   }
 }
 
-function* unusedWarnings({ services, routes, organisations, rollouts }: Configuration, warn: Warn) {
+function* unusedWarnings({ services, routes, keysRequired, rollouts }: Configuration, warn: Warn) {
   const targets = new Set(
     [...routes.values()].flatMap((route) => route.targets.map((target) => target.service)),
   );
@@ -140,7 +144,7 @@
       );
     }
   }
-  if (organisations.size > 0) return;
+  if (keysRequired) return;
   for (const { name, isPublic } of routes.values()) {
     if (isPublic) {
       yield warn(
--- a/src/version/mergeFolder.test.ts
+++ b/src/version/mergeFolder.test.ts
@@ -84,7 +84,7 @@
 same route twice -> 10.toml:6: found "[route.a]", expected TOML (trying to redefine an already defined table or value)
 same match twice -> 10.toml:8: route.b.path: found "/a", expected a path and methods that route.a doesn't match already
 unknown key -> 10.toml:3: service.stock.colour: found an unknown key, expected a key that docs/CONFIGURATION.md lists
-unknown section -> 10.toml: server: found an unknown key, expected a table [service.NAME], [route.NAME], [organisation.NAME], [rollout.SERVICE], [defaults] or [limits]
+unknown section -> 10.toml: server: found an unknown key, expected a table [service.NAME], [route.NAME], [organisation.NAME], [rollout.SERVICE], [defaults], [limits] or [access]
 undeclared service -> 10.toml:2: route.a.service: found "stock", expected a service that some file declares
 wrong unit -> 10.toml:3: service.stock.warm_up: found "2 fortnights", expected a duration with its unit, such as "500ms", "2s", "1m" or "1h"
 unit missing -> 10.toml:3: service.stock.warm_up: found 2, expected a duration with its unit, such as "500ms", "2s", "1m" or "1h"
--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -18,6 +18,7 @@
   Steps,
 } from '../common/Types';
 import {
+  accessSchema,
   closedRouteSchema,
   DEFAULTS,
   defaultsSchema,
@@ -26,13 +27,11 @@
   METHODS,
   NAME,
   nameSchema,
-  ORGANISATION_NAME,
-  organisationNameSchema,
   organisationSchema,
   rolloutSchema,
   routeSchema,
-  SERVICE_NAME,
-  serviceNameSchema,
+  PRINTABLE_NAME,
+  printableNameSchema,
   serviceSchema,
 } from './configurationSchema';
 import { parseDocument } from './parsedDocuments';
@@ -70,6 +69,7 @@
   readonly rollout: Section;
   readonly defaults: Section;
   readonly limits: Section;
+  readonly access: Section;
 }
 
 /** What becomes of invalid entries: the folder is refused, or they are closed. */
@@ -103,20 +103,25 @@
   'rollout',
   'defaults',
   'limits',
+  'access',
 ] as const;
 
+/** Sections that are one table, without names. */
+const UNNAMED_SECTIONS = ['limits', 'access'] as const;
+
 /** Form of the names of each kind of entry. */
 const NAMES = {
-  service: { pattern: SERVICE_NAME, schema: serviceNameSchema },
+  service: { pattern: PRINTABLE_NAME, schema: printableNameSchema },
   route: { pattern: NAME, schema: nameSchema },
-  organisation: { pattern: ORGANISATION_NAME, schema: organisationNameSchema },
-  rollout: { pattern: SERVICE_NAME, schema: serviceNameSchema },
+  organisation: { pattern: PRINTABLE_NAME, schema: printableNameSchema },
+  rollout: { pattern: PRINTABLE_NAME, schema: printableNameSchema },
 } as const;
 
 const HOSTS = new PortAwareHosts();
 
-/** Map key of the merged `[limits]` table, which has no name of its own. */
-const LIMITS_KEY = 'limits';
+function isUnnamed(section: keyof Sections): section is (typeof UNNAMED_SECTIONS)[number] {
+  return UNNAMED_SECTIONS.some((name) => name === section);
+}
 
 function isTable(value: unknown): value is Record<string, unknown> {
   return value !== null && typeof value === 'object' && !Array.isArray(value);
@@ -139,7 +144,7 @@
     key,
     found: 'an unknown key',
     expected:
-      'a table [service.NAME], [route.NAME], [organisation.NAME], [rollout.SERVICE], [defaults] or [limits]',
+      'a table [service.NAME], [route.NAME], [organisation.NAME], [rollout.SERVICE], [defaults], [limits] or [access]',
   };
 }
 
@@ -181,7 +186,7 @@
       issues.push(unknownSectionIssue(file, key));
       continue;
     }
-    if (sectionName === LIMITS_KEY) addEntry(sections.limits, LIMITS_KEY, table, file);
+    if (isUnnamed(sectionName)) addEntry(sections[sectionName], sectionName, table, file);
     else {
       for (const [name, value] of Object.entries(table)) {
         addEntry(sections[sectionName], name, value, file);
@@ -238,7 +243,7 @@
 }
 
 function parseLimits(section: Section, issues: ValidationIssue[]): CallerLimits | undefined {
-  const entry = section.get(LIMITS_KEY);
+  const entry = section.get('limits');
   if (!entry) return undefined;
   const { file, value } = entry;
   const result = limitsSchema.safeParse(value);
@@ -250,11 +255,22 @@
       idleTimeoutMs: result.data.idle_timeout,
     };
   }
-  const source = { file: file.name, content: file.content, table: LIMITS_KEY };
+  const source = { file: file.name, content: file.content, table: 'limits' };
   issues.push(...schemaIssues(result.error, value, source));
   return undefined;
 }
 
+/** Whether an `[access]` table requires keys; an invalid one does. */
+function parseAccess(section: Section, issues: ValidationIssue[]): boolean {
+  const entry = section.get('access');
+  if (!entry) return false;
+  const { file, value } = entry;
+  const result = accessSchema.safeParse(value);
+  const source = { file: file.name, content: file.content, table: 'access' };
+  if (!result.success) issues.push(...schemaIssues(result.error, value, source));
+  return true;
+}
+
 function buildService(name: string, parsed: z.output<typeof serviceSchema>): Service {
   return {
     name: name as ServiceName,
@@ -322,16 +338,34 @@
 
 function buildOrganisation(
   name: string,
-  { keys, priority, rate, burst }: z.output<typeof organisationSchema>,
+  { keys, priority, rate, burst, incomplete, closed }: z.output<typeof organisationSchema>,
 ): Organisation {
   return {
     name: name as OrganisationName,
     keys: keys as KeyDigest[],
     priority,
     quota: rate > 0 ? { rate, burst } : undefined,
+    isIncomplete: incomplete,
+    closed,
   };
 }
 
+/** Closes an invalid organisation: its keys are known, but nothing may be run for them. */
+function closeInvalidOrganisation(
+  name: string,
+  value: unknown,
+  issue: ValidationIssue,
+): Organisation {
+  const table = isTable(value) ? value : {};
+  const keys = organisationSchema.shape.keys.safeParse(table.keys);
+  const parsed = organisationSchema.parse({
+    keys: keys.data ?? [],
+    incomplete: !keys.success,
+    closed: closingReason(issue),
+  });
+  return buildOrganisation(name, parsed);
+}
+
 function buildRollout(
   service: string,
   { version, duration }: z.output<typeof rolloutSchema>,
@@ -370,17 +404,19 @@
 }
 
 /** Reports keys that more than one organisation holds: a call would belong to either of them. */
-function sharedKeyIssues(
+function findSharedKeys(
   sections: Sections,
   organisations: readonly Organisation[],
-): ValidationIssue[] {
+): { readonly issues: ValidationIssue[]; readonly keys: ReadonlySet<KeyDigest> } {
   const holders = new Map<KeyDigest, OrganisationName>();
   const issues: ValidationIssue[] = [];
+  const shared = new Set<KeyDigest>();
   for (const { name, keys } of organisations) {
     for (const key of keys) {
       const holder = holders.get(key) ?? name;
       holders.set(key, holder);
       if (holder !== name) {
+        shared.add(key);
         issues.push(
           entryIssue(sections, 'organisation', name, 'keys', {
             found: `"${key}"`,
@@ -390,7 +426,19 @@
       }
     }
   }
-  return issues;
+  return { issues, keys: shared };
+}
+
+/** Takes keys from the organisations that share them. */
+function withoutShared(
+  organisations: Organisation[],
+  shared: ReadonlySet<KeyDigest>,
+): Organisation[] {
+  if (shared.size === 0) return organisations;
+  return organisations.map((organisation) => ({
+    ...organisation,
+    keys: organisation.keys.filter((key) => !shared.has(key)),
+  }));
 }
 
 /** Reports roll-outs of services that no file declares. */
@@ -485,7 +533,7 @@
 function provenance(sections: Sections): Provenance[] {
   return SECTION_NAMES.flatMap((section) =>
     [...sections[section]].map(([name, { file, overrode }]) => ({
-      key: section === LIMITS_KEY ? LIMITS_KEY : `${section}.${name}`,
+      key: isUnnamed(section) ? section : `${section}.${name}`,
       file: file.name,
       overrode,
     })),
@@ -510,6 +558,7 @@
     rollout: new Map(),
     defaults: new Map(),
     limits: new Map(),
+    access: new Map(),
   };
   const issues: ValidationIssue[] = [];
   yield* inSteps(folder, (file) => issues.push(...collectEntries(file, sections)));
@@ -518,6 +567,7 @@
   if (closes && issues.some(({ key }) => key === undefined)) return { kind: 'invalid', issues };
   const defaults = parseDefaults(sections.defaults, issues);
   const limits = parseLimits(sections.limits, issues);
+  const isAccessLimited = parseAccess(sections.access, issues);
   const parsedServices = yield* parseEntries('service', sections.service, serviceSchema, issues);
   const parsedRoutes = yield* parseEntries<RouteSchema>(
     'route',
@@ -540,7 +590,7 @@
     ]),
   );
   let routes = [...parsedRoutes.valid].map(([name, parsed]) => buildRoute(name, parsed, defaults));
-  const organisations = [...parsedOrganisations.valid].map(([name, parsed]) =>
+  let organisations = [...parsedOrganisations.valid].map(([name, parsed]) =>
     buildOrganisation(name, parsed),
   );
   const rollouts = [...parsedRollouts.valid].map(([name, parsed]) => buildRollout(name, parsed));
@@ -549,14 +599,22 @@
       const { value } = sections.route.get(name)!;
       routes.push(closeInvalidRoute(name, value, issue, defaults));
     }
+    for (const [name, issue] of parsedOrganisations.invalid) {
+      const { value } = sections.organisation.get(name)!;
+      organisations.push(closeInvalidOrganisation(name, value, issue));
+    }
   }
+  let sharedKeys: ReadonlySet<KeyDigest> = new Set();
   // References are checked only if all entries are valid: otherwise an invalid service would be
   // reported a second time, as undeclared, by each route to it.
   if (closes || issues.length === 0) {
     const faults = yield* findRouteFaults(sections, services, routes, closes);
     if (closes) routes = closeFaulty(routes, faults);
     issues.push(...faults.map(({ issue }) => issue));
-    issues.push(...sharedKeyIssues(sections, organisations));
+    const shared = findSharedKeys(sections, organisations);
+    sharedKeys = shared.keys;
+    organisations = withoutShared(organisations, sharedKeys);
+    issues.push(...shared.issues);
     issues.push(...rolloutIssues(sections, services, rollouts));
   }
   if (issues.length > 0 && !closes) return { kind: 'invalid', issues };
@@ -567,6 +625,8 @@
       services,
       routes: new Map(routes.map((route) => [route.name, route])),
       organisations: new Map(organisations.map((entry) => [entry.name, entry])),
+      keysRequired: isAccessLimited || organisations.length > 0,
+      sharedKeys,
       rollouts: new Map(
         rollouts
           .filter(({ service }) => services.has(service))
--- a/src/version/requiredSchema.ts
+++ b/src/version/requiredSchema.ts
@@ -1,5 +1,6 @@
 import {
   COMMON_HOST,
+  COMMON_ORGANISATION_NAME,
   COMMON_SCHEMA_NUMBER,
   limitsSchema,
   NAME,
@@ -41,6 +42,10 @@
   return health === undefined || (typeof health === 'string' && PATH.test(health));
 }
 
+function isCommonOrganisation({ closed, incomplete }: Table): boolean {
+  return closed === undefined && incomplete === undefined;
+}
+
 /** Whether a release that knows nothing newer than the common schema takes an entry as this one does. */
 function isCommonEntry(section: string, name: string, entry: Table): boolean {
   switch (section) {
@@ -48,8 +53,12 @@
       return NAME.test(name) && isCommonService(entry);
     case 'route':
       return isCommonRoute(entry);
+    case 'organisation':
+      return COMMON_ORGANISATION_NAME.test(name) && isCommonOrganisation(entry);
     case 'rollout':
       return NAME.test(name);
+    case 'access':
+      return false;
     default:
       return true;
   }
--- a/test/operatorNames.test.ts
+++ b/test/operatorNames.test.ts
@@ -17,6 +17,8 @@
 
 const SERVICES = ['Rental Desk', 'rental_desk', 'Ñuñoa "7" \\'] as const;
 
+const ORGANISATIONS = ['Puerto Norte', "Ñuñoa's", 'a/b'] as const;
+
 /** An upstream that keeps the headers of the calls that it ran, by path. */
 class NamedUpstream {
   public readonly runs = new Map<string, IncomingHttpHeaders>();
@@ -55,16 +57,18 @@
     rules[index]!.match = { path_prefix: index === 0 ? '/depot/' : `/depot/${index}/` };
     rules[index]!.action.service = service;
   });
-  return JSON.stringify({ ...document, clusters: SERVICES.map((name) => ({ name })) });
+  const clusters = SERVICES.map((name) => ({ name }));
+  const tenants = ORGANISATIONS.map((name, index) => ({ name, api_keys: [`clé-${index}`] }));
+  return JSON.stringify({ ...document, clusters, tenants });
 }
 
 function bytesOf(header: string | string[] | undefined): string {
   return Buffer.from(String(header), 'latin1').toString();
 }
 
-// Guards against calls that run at the service of a shorter path, or not at all, for the name of their service,
-// and against daemons that don't start beside a service of such a name.
-test('calls reach services whatever printable characters their names have', async () => {
+// Guards against calls that run at the service of a shorter path, for another organisation or not at all, for the
+// names of their services and organisations, and against daemons that don't start beside a service of such a name.
+test('calls reach services for their organisations whatever printable characters their names have', async () => {
   const fleet = new Fleet();
   const store = new PlatformStoreServer();
   const upstreams = SERVICES.map(() => new NamedUpstream());
@@ -104,14 +108,21 @@
             const { statusCode, body } = await request(
               `http://${daemon.ready.listening.calls}${path}`,
               {
-                headers: { host: OPERATOR_HOST, 'azurestream-attempt-id': `a-${caller}-${target}` },
+                headers: {
+                  host: OPERATOR_HOST,
+                  'azurestream-attempt-id': `a-${caller}-${target}`,
+                  'api-key': Buffer.from(`clé-${caller}`).toString('latin1'),
+                },
               },
             );
             await body.dump();
             return statusCode === 200;
           },
         );
-        assert.is(bytesOf(runs.get(path)?.['azurestream-caller-service']), SERVICES[caller]);
+        const headers = runs.get(path);
+        assert.is(bytesOf(headers?.['azurestream-caller-service']), SERVICES[caller]);
+        assert.is(bytesOf(headers?.['azurestream-tenant']), ORGANISATIONS[caller]);
+        assert.is(headers?.['api-key'], undefined);
       }
     }
     assert.equal(
