Log what the first read of the store shows, and what peers are known to have then

A daemon that starts takes its first read for the newest state. The log didn't tell that read from what peers told it before or after, so that a store that shows less than the peers have left no trace.

--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -279,6 +279,7 @@
       this.nextOffset = undefined;
       return false;
     }
+    this.logFirstRead(batch);
     this.noteUnreadable(batch);
     this.nextOffset = batch.next;
     this.noteShown(batch.configuration?.version);
@@ -301,6 +302,16 @@
     return this.store.changes(this.nextOffset, this.waitMs(), signal);
   }
 
+  private logFirstRead({ configuration, next }: ConfigurationBatch): void {
+    if (this.hasConfirmedRead) return;
+    this.logger.log('Read the store for the first time.', {
+      version: configuration?.version ?? null,
+      next,
+      newestHeard: this.heads.newestVersionHeard ?? null,
+      sinceStartMs: Math.round(this.clock.now()),
+    });
+  }
+
   /**
    * A newest configuration that can't be decoded may have removed keys, so while there is one, a read of the
    * store is no proof for the version before it.
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -402,6 +402,8 @@
   readonly offer: Offer;
   /** Fires when a newer version of the configuration is received. */
   readonly onAdvance: Event<Offer>;
+  /** Newest version that the store or a peer is known to have; `undefined` if none. */
+  readonly newestVersionHeard: VersionNumber | undefined;
   /** @param heartbeat - Heartbeat of a peer; confirms the local version if both are the same. */
   observeHeartbeat(heartbeat: Heartbeat): void;
   /**
