Take a restored store for no proof until a peer has one

Cause: a daemon that starts knows no era, so an era above 0 is no change to it. Its first read shows the older version and counts as a proof that it is the newest. In the log of the killed daemon: version 7 in force at 'through' 2^40 + 1, callers accepted by the store's word, version 9 from a peer 0.12 s later.

Change: at a store that ever came back from a copy, the reads of a process that hasn't read it before prove nothing until a peer has stated a proof in the reply to a heartbeat, or until none has for as long as the revocation bound. Reads that show less than the newest known version prove nothing either, also at daemons that saw the store come back; they read it as a whole then, and don't skip what peers have read. One log line at each change tells why. No message changes; calls without keys are served as before.

Cost: none at a store that never came back: one comparison a read.

--- a/src/connection/ConfigurationWatcher.test.ts
+++ b/src/connection/ConfigurationWatcher.test.ts
@@ -22,7 +22,7 @@
 import MemberTable from './MemberTable';
 import PeerHeadTracker from './PeerHeadTracker';
 import ReaderDoubt from './ReaderDoubt';
-import type { ConfigurationBatch, ConfigurationStore, MemberRecord } from './Types';
+import type { ConfigurationBatch, ConfigurationStore, Heartbeat, MemberRecord } from './Types';
 
 function batch(version: number, next: number): ConfigurationBatch {
   const content = `[service.stock]\nslots = ${version}\n`;
@@ -60,6 +60,8 @@
 
   public connections = 0;
 
+  public hasBeenRestored = false;
+
   public constructor(private readonly steps: (() => ConfigurationBatch)[]) {}
 
   public newest(signal: AbortSignal): Promise<ConfigurationBatch> {
@@ -152,6 +154,7 @@
   steps: (() => ConfigurationBatch)[],
   others: readonly MemberRecord[] = [],
   boundMs = 0,
+  hasBeenRestored = false,
 ) {
   const clock = new SystemClock();
   const members = new MemberTable(
@@ -167,6 +170,7 @@
   });
   const doubt = new ReaderDoubt(clock);
   const store = new ScriptedStore(steps);
+  store.hasBeenRestored = hasBeenRestored;
   const versions = new VersionStore(mergeSteps, clock);
   const proof = new FreshnessProof(
     () => versions.snapshot?.head.version ?? null,
@@ -291,6 +295,54 @@
   await finish();
 });
 
+/** A heartbeat of a peer that has a version. */
+function heartbeatOf(version: number, through: number): Heartbeat {
+  return {
+    from: 'coq-2' as DaemonId,
+    incarnation: 1 as Incarnation,
+    version: version as VersionNumber,
+    through: through as Offset,
+    ageMs: 0,
+    members: '',
+  };
+}
+
+// Guards against keys that are accepted as a store lost, with the records of some seconds, that they were removed.
+test('a store that came back from a copy before the start proves nothing until a peer has a proof', async () => {
+  const nothing = () => ({ configuration: undefined, next: 4 as Offset });
+  const reader = await watch(
+    [() => batch(7, 4), nothing, nothing, () => batch(9, 6)],
+    [],
+    60_000,
+    true,
+  );
+  const { store, proof, heads, settle, finish } = reader;
+  await settle(() => heads.knowledge.version === 7);
+  assert.is(proof.current, null);
+  heads.observeHeartbeat(heartbeatOf(9, 5));
+  proof.addFromPeer({ version: 9 as VersionNumber, ageMs: 900 }, proof.now());
+  await settle(() => store.requests.length === 3);
+  await delay(5);
+  // The proof of the peer is for a version that isn't in force here, and the store lacks it.
+  assert.is(proof.current, null);
+  // The read that shows it again proves it.
+  await settle(() => heads.knowledge.version === 9 && proof.ageMs < 900);
+  assert.equal(store.requests, ['newest', 'from 4', 'from 4', 'from 4']);
+  await finish();
+});
+
+// Guards against keys that are refused for good after a loss of all daemons.
+test('a store that came back from a copy proves again if no peer has a proof for as long as one can be valid', async () => {
+  const steps = Array.from({ length: 12 }, (_, index) => () => batch(index + 7, index + 4));
+  const reader = await watch(steps, [], 4_000, true);
+  const { store, proof, settle, finish } = reader;
+  await settle(() => store.requests.length === 2);
+  await delay(5);
+  assert.is(proof.current, null);
+  await settle(() => proof.isFresh);
+  await finish();
+});
+
 // Guards against a daemon that waits for its peers until its proof is too old.
 test('a daemon that is no reader reads for itself while its proof is old', async () => {
   const steps = [7, 8, 9].map((version) => () => batch(version, version - 3));
--- a/src/connection/ConfigurationWatcher.ts
+++ b/src/connection/ConfigurationWatcher.ts
@@ -18,6 +18,7 @@
   HeadTracker,
   LogReaderState,
   MemberRecord,
+  Moment,
   PublishedConfiguration,
 } from './Types';
 import type ReaderDoubt from './ReaderDoubt';
@@ -105,6 +106,15 @@
   /** Monotonic time in ms from which on reads of the store prove something. */
   private provesFrom = -Infinity;
 
+  /** Monotonic time in ms of the first read whose proof mattered. */
+  private firstReadAt: number | undefined;
+
+  /** Whether it is known what the store held before it came back from a copy. */
+  private isPastKnown = false;
+
+  /** Why the last read proved nothing; `undefined` if it did. */
+  private proofDoubt: string | undefined;
+
   /** Monotonic time in ms at which this daemon reads for a younger proof; `undefined` if it isn't old. */
   private proofReadAt: number | undefined;
 
@@ -137,7 +147,7 @@
       reading: this.reason !== undefined,
       anchored: this.hasConfirmedRead,
       unknownSchema: undefined,
-      isNewestUnreadable: this.unreadableAt !== undefined,
+      noProofReason: this.proofDoubt,
       reads: this.reads,
       failures: this.failures,
       lastCheckpointAt: undefined,
@@ -283,9 +293,9 @@
     this.noteUnreadable(batch);
     this.nextOffset = batch.next;
     this.noteShown(batch.configuration?.version);
+    this.noteProofDoubt(askedAt);
     // Valid as soon as this version, or a newer one from a peer, is in force.
-    const isProof =
-      askedAt && askedAt.monotonicMs >= this.provesFrom && this.unreadableAt === undefined;
+    const isProof = askedAt && this.proofDoubt === undefined;
     if (isProof && this.shownVersion !== undefined) this.proof?.add(this.shownVersion, askedAt);
     // Peers that read from this offset on find the unreadable configuration themselves.
     return this.apply(batch.configuration, this.unreadableAt ?? batch.next);
@@ -293,8 +303,10 @@
 
   private read(signal: AbortSignal): Promise<ConfigurationBatch> {
     const { head, knowledge } = this.heads;
-    // After the first read, an offset confirmed by peers is as reliable as one from the store.
-    if (head && this.nextOffset !== undefined && knowledge.through > this.nextOffset) {
+    // After the first read, an offset confirmed by peers is as reliable as one from the store, unless the store
+    // lacks what the peers have in force.
+    const isAhead = this.nextOffset !== undefined && knowledge.through > this.nextOffset;
+    if (head && isAhead && !this.isStoreBehind) {
       this.nextOffset = knowledge.through;
       this.noteShown(head.version);
     }
@@ -324,6 +336,55 @@
   /** A version that removed a key may be among the records that were lost. */
   private noteRestore(): void {
     this.provesFrom = this.clock.now() + RESTORE_SETTLE_MS;
+    this.nextOffset = undefined;
+    this.shownVersion = undefined;
+  }
+
+  /** Whether the store came back from a copy and shows less than is known of it. */
+  private get isStoreBehind(): boolean {
+    const known = this.heads.newestVersionHeard ?? -1;
+    return this.store.hasBeenRestored === true && known > (this.shownVersion ?? -1);
+  }
+
+  /**
+   * Whether it is known what the store held before it came back from a copy: this process has read it then, a
+   * peer has a proof, or no peer has stated one for as long as a proof can be valid.
+   */
+  private knowsPast(proof: FreshnessProof): boolean {
+    if (!this.store.hasBeenRestored || proof.hasPeerProof) this.isPastKnown = true;
+    this.firstReadAt ??= this.clock.now();
+    return this.isPastKnown || this.clock.now() - this.firstReadAt >= proof.boundMs;
+  }
+
+  /** Notes why a read proves nothing, if it doesn't. */
+  private noteProofDoubt(askedAt: Moment | undefined): void {
+    const { proof } = this;
+    if (!proof || !askedAt) return;
+    const before = this.proofDoubt;
+    this.proofDoubt = this.findProofDoubt(proof, askedAt);
+    if (this.proofDoubt === before) return;
+    const { newestVersionHeard = null, knowledge } = this.heads;
+    this.logger.log(
+      this.proofDoubt
+        ? 'Reads of the store prove nothing.'
+        : 'Reads of the store are proofs again.',
+      {
+        reason: this.proofDoubt ?? before,
+        shown: this.shownVersion ?? null,
+        newestHeard: newestVersionHeard,
+        version: knowledge.version,
+        next: this.nextOffset,
+      },
+    );
+  }
+
+  private findProofDoubt(proof: FreshnessProof, askedAt: Moment): string | undefined {
+    const knowsPast = this.knowsPast(proof);
+    if (this.unreadableAt !== undefined) return "its newest configuration can't be decoded";
+    if (askedAt.monotonicMs < this.provesFrom) return 'it came back from a copy just now';
+    if (!knowsPast) return 'it came back from a copy, and no peer has told yet what it held before';
+    if (this.isStoreBehind) return 'it came back from a copy and lacks a version that is known';
+    return undefined;
   }
 
   private noteShown(version: VersionNumber | undefined): void {
--- a/src/connection/FreshnessProof.ts
+++ b/src/connection/FreshnessProof.ts
@@ -43,6 +43,8 @@
   /** By ascending version; each is younger than those before it. */
   private held: readonly HeldProof[] = [];
 
+  private peerProof = false;
+
   /**
    * @param inForce - Returns the version in force; null if there is none.
    * @param options - Bound, and whether the proof matters.
@@ -88,6 +90,11 @@
     return this.isNeeded && this.ageMs > this.boundMs * share;
   }
 
+  /** Whether a peer has stated a proof that was younger than the bound. */
+  public get hasPeerProof(): boolean {
+    return this.peerProof;
+  }
+
   /** Whether keys are checked, so that the proof has to be kept young. */
   public get isNeeded(): boolean {
     return this.options.checksKeys();
@@ -125,6 +132,15 @@
     this.held = [...valid, ...pending.slice(-MAX_PENDING)];
   }
 
+  /**
+   * @param stated - Proof in the reply of a peer.
+   * @param askedAt - Moment before the request to the peer was sent.
+   */
+  public addFromPeer({ version, ageMs }: VersionProof, askedAt: Moment): void {
+    this.add(version, askedAt, ageMs);
+    if (ageMs + this.since(askedAt) <= this.boundMs) this.peerProof = true;
+  }
+
   /** The youngest proof for the version in force or an older one. */
   private get valid(): HeldProof | undefined {
     const inForce = this.inForce();
--- a/src/connection/PeerLink.ts
+++ b/src/connection/PeerLink.ts
@@ -214,7 +214,7 @@
       connection.client.beat.mutate(update, { signal }),
     );
     const { proof: stated } = reply.beat;
-    if (askedAt && stated) proof?.add(stated.version, askedAt, stated.ageMs);
+    if (askedAt && stated) proof?.addFromPeer(stated, askedAt);
     gossip.receiveRollouts(reply.rollouts, this.peer.id);
     await this.catchUp(connection, reply.beat);
     if (reply.wanted) await this.deliverDelta(connection, reply.wanted);
--- a/src/connection/Types.ts
+++ b/src/connection/Types.ts
@@ -112,6 +112,8 @@
   reconnect(): void;
   /** @param offset - Offset that a peer has read, which tells whether the store was restored since. */
   observe(offset: Offset): void;
+  /** Whether the store is known to have come back from a copy at some time; absent if it never can. */
+  readonly hasBeenRestored?: boolean;
 }
 
 /** A store that may come back from a copy, which lacks the records of the last seconds. */
@@ -160,8 +162,8 @@
   readonly anchored: boolean;
   /** Schema number of a log record that this release can't read; `undefined` if none was found. */
   readonly unknownSchema: number | undefined;
-  /** Whether the newest configuration of the store can't be decoded, so that nothing is known of its keys. */
-  readonly isNewestUnreadable?: boolean;
+  /** Why reads don't prove that the version in force is the newest; `undefined` if they do. */
+  readonly noProofReason?: string | undefined;
   readonly reads: number;
   readonly failures: number;
   /** Monotonic time in ms at which the latest checkpoint was read; `undefined` if none was. */
--- a/src/process/Inspection.ts
+++ b/src/process/Inspection.ts
@@ -191,7 +191,7 @@
 
   private problems(): string[] {
     const { heads, logReader, settings, members, overlay } = this.dependencies;
-    const { unknownSchema, isNewestUnreadable, failures, reading } = logReader.state;
+    const { unknownSchema, noProofReason, failures, reading } = logReader.state;
     const age = this.knowledgeAgeMs();
     const problems: string[] = [];
     if (!heads.head) problems.push('no configuration is in force');
@@ -206,10 +206,8 @@
         `refuses keys: the proof of the version in force is ${this.proofAgeMs() ?? 'infinitely many'} ms old`,
       );
     }
-    if (isNewestUnreadable) {
-      problems.push(
-        "the newest configuration of the store can't be decoded; an older one is in force",
-      );
+    if (proof?.isNeeded && noProofReason !== undefined) {
+      problems.push(`reads of the store prove nothing: ${noProofReason}`);
     }
     if (unknownSchema !== undefined) {
       problems.push(`a record of schema ${unknownSchema} can't be read`);
--- a/test/restoredStore.test.ts
+++ b/test/restoredStore.test.ts
@@ -1,8 +1,11 @@
 import * as assert from 'uvu/assert';
 import { test } from 'uvu';
+import { request } from 'undici';
+import { REASON_HEADER } from '../src/request/callHeaders';
 import Fleet, { eventually } from '../stand-in/Fleet';
 import PlatformStoreServer from '../stand-in/PlatformStoreServer';
 import {
+  OPERATOR_HOST,
   operatorConfiguration,
   scenario,
   SHORT_PERIODS,
@@ -66,4 +69,81 @@
   },
 );
 
+const BOUND_MS = 3_000;
+const KEPT_KEY = 'key-that-is-kept';
+const REMOVED_KEY = 'key-that-is-removed';
+
+function configurationWithKeys(version: number, keys: readonly string[]): string {
+  const document = JSON.parse(operatorConfiguration(version, 1)) as object;
+  return JSON.stringify({ ...document, tenants: [{ name: 'acme', api_keys: keys }] });
+}
+
+/** Calls a service without upstreams; returns whether the key was accepted, or the status. */
+async function callOutcome(calls: string, key: string): Promise<string> {
+  const { statusCode, headers, body } = await request(`http://${calls}/route-0/`, {
+    headers: { host: OPERATOR_HOST, 'api-key': key },
+  });
+  await body.dump();
+  return String(headers[REASON_HEADER]).includes('has no upstream') ? 'accepted' : `${statusCode}`;
+}
+
+// Guards against a daemon that starts as the store comes back from a copy, and takes a removed key for valid.
+scenario(
+  'a key stays removed at a daemon that restarts with a store that lost the removal',
+  async () => {
+    const fleet = new Fleet();
+    const store = new PlatformStoreServer();
+    try {
+      fleet.useLog(await store.listen());
+      store.put(configurationWithKeys(1, [KEPT_KEY, REMOVED_KEY]));
+      const options = ['coq', 'rogers', 'kootenay', 'pine'].map((zone) => ({
+        name: `${zone}-1`,
+        zone,
+        extra: {
+          ...SHORT_PERIODS,
+          log: 'kind = "platform"\nreader_zones = 3\nreaders_per_zone = 1',
+          organisations: `revocation = "${BOUND_MS}ms"`,
+        },
+      }));
+      const daemons = await Promise.all(options.map((option) => fleet.startDaemon(option)));
+      await waitUntilAllAlive(daemons);
+      for (const { ready } of daemons) {
+        await eventually(
+          'the key is accepted',
+          async () => (await callOutcome(ready.listening.calls, REMOVED_KEY)) === 'accepted',
+        );
+      }
+      await eventually('a contact is stored', () => store.keys(CONTACTS_TOPIC).length > 0);
+      const early = store.copy();
+      store.put(configurationWithKeys(2, [KEPT_KEY]));
+      await waitUntilInForce(2, daemons);
+      const outcomes = new Set<string>();
+      for (const [index, daemon] of daemons.slice(0, 2).entries()) {
+        store.isDown = true;
+        await Fleet.stopProcess(daemon, 'SIGKILL');
+        store.restore(early);
+        store.isDown = false;
+        const { listening } = daemon.ready;
+        const { calls } = listening;
+        await fleet.startDaemon({ ...options[index]!, addresses: listening });
+        await eventually('the removed key is refused for good', async () => {
+          const outcome = await callOutcome(calls, REMOVED_KEY);
+          outcomes.add(outcome);
+          return outcome === '401';
+        });
+        store.put(configurationWithKeys(2, [KEPT_KEY]));
+        await eventually(
+          'the key that was kept is accepted',
+          async () => (await callOutcome(calls, KEPT_KEY)) === 'accepted',
+        );
+        outcomes.add(await callOutcome(calls, REMOVED_KEY));
+      }
+      assert.not.ok(outcomes.has('accepted'), [...outcomes].join());
+    } finally {
+      await fleet.dispose();
+      store.dispose();
+    }
+  },
+);
+
 test.run();
