--- a/src/version/mergeFolder.ts
+++ b/src/version/mergeFolder.ts
@@ -360,7 +360,7 @@
   const keys = organisationSchema.shape.keys.safeParse(table.keys);
   const parsed = organisationSchema.parse({
     keys: keys.data ?? [],
-    incomplete: !keys.success,
+    incomplete: !keys.success || table.incomplete === true,
     closed: closingReason(issue),
   });
   return buildOrganisation(name, parsed);
@@ -462,6 +462,7 @@
   sections: Sections,
   services: ReadonlyMap<ServiceName, Service>,
   route: Route,
+  closes: boolean,
 ): ValidationIssue[] {
   if (route.closed !== undefined) return [];
   const { service, split } = sections.route.get(route.name)!.value as Record<string, unknown>;
@@ -470,11 +471,16 @@
     const found = service === undefined ? 'nothing' : 'a service and a split';
     return [routeIssue(sections, route, key, { found, expected: 'either a service or a split' })];
   }
-  return route.targets
-    .filter((target) => !services.has(target.service))
-    .map((target) =>
+  // The schema of records passes over a key `__proto__`, which the releases before accept in a folder.
+  const names =
+    closes && split !== undefined
+      ? Object.keys(split as object)
+      : route.targets.map((target) => target.service);
+  return names
+    .filter((name) => !services.has(name as ServiceName))
+    .map((name) =>
       routeIssue(sections, route, key, {
-        found: `"${target.service}"`,
+        found: `"${name}"`,
         expected: 'a service that some file declares',
       }),
     );
@@ -491,12 +497,14 @@
   closes: boolean,
 ): Steps<RouteFault[]> {
   const faults: RouteFault[] = [];
+  const faulty = new Set<Route>();
   const routesByPath = new Map<string, Route[]>();
   // The releases that wrote schema 3 and below accept a folder whose routes differ in the spelling of the host.
   const hostKey = (host: string) => (closes ? HOSTS.routeKey(host) : host);
   yield* inSteps(routes, (route) => {
-    for (const issue of targetIssues(sections, services, route)) {
+    for (const issue of targetIssues(sections, services, route, closes)) {
       faults.push({ issue, routes: [route] });
+      faulty.add(route);
     }
     const hostAndPath = `${route.host === undefined ? '' : hostKey(route.host)}${route.path}`;
     const samePath = routesByPath.get(hostAndPath) ?? [];
@@ -505,7 +513,13 @@
         (closed === undefined || route.closed === undefined) &&
         route.methods.some((method) => methods.includes(method)),
     );
-    if (conflicting && !(closes && isSameRoute(route, conflicting))) {
+    const areSame =
+      closes &&
+      conflicting !== undefined &&
+      !faulty.has(route) &&
+      !faulty.has(conflicting) &&
+      isSameRoute(route, conflicting);
+    if (conflicting && !areSame) {
       const issue = routeIssue(sections, route, 'path', {
         found: `"${route.path}"`,
         expected: `a path and methods that route.${conflicting.name} doesn't match already`,
