--- a/src/version/PortAwareHosts.ts
+++ b/src/version/PortAwareHosts.ts
@@ -14,6 +14,7 @@
 
 function split(host: string): HostAndPort {
   const lowerCase = host.toLowerCase();
+  if (!lowerCase.includes(':')) return { name: lowerCase, port: undefined };
   if (BARE_IPV6.test(lowerCase)) return { name: `[${lowerCase}]`, port: undefined };
   const match = PORT.exec(lowerCase);
   if (!match) return { name: lowerCase, port: undefined };
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -33,6 +33,8 @@
 /** Numeric values of the named priorities of routes; queued calls with lower values run first. */
 const NAMED_PRIORITIES = { interactive: 0, background: 1 } as const;
 
+/** Printable characters, whole surrogate pairs among them, without spaces at the ends; at most 255 code units. */
+const PRINTABLE = String.raw`(?=.{1,255}$)(?! )(?:[ -~\xa0-\u2027\u202a-\ud7ff\ue000-\uffff]|[\ud800-\udbff][\udc00-\udfff])*(?<! )`;
 /** Pattern of the names of routes, and of services up to schema 3. */
 export const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
 /**
@@ -40,8 +42,7 @@
  * characters without spaces at the ends, which HTTP would remove. `__proto__` can't be a key of the tables
  * that hold weights.
  */
-export const PRINTABLE_NAME =
-  /^(?!__proto__$)(?=.{1,255}$)(?! )[^\p{Cc}\p{Cs}\p{Zl}\p{Zp}]*(?<! )$/u;
+export const PRINTABLE_NAME = new RegExp(`^(?!__proto__$)${PRINTABLE}$`);
 /** Paths of routes, and of health checks up to schema 3. */
 export const PATH = /^\/[^\s?#]*$/;
 /** Paths of health checks, which may have a query. */
@@ -52,8 +53,8 @@
 const SOFTWARE_VERSION = /^[\x21-\x7e]{1,128}$/;
 /** Pattern of the hosts of routes up to schema 3. */
 export const COMMON_HOST = /^[a-z0-9.[\]:-]{1,255}$/;
-/** Pattern of the hosts of routes: any text without upper-case letters that a Host header can hold. */
-const HOST = /^(?=.{1,255}$)(?! )[^\p{Cc}\p{Cs}\p{Zl}\p{Zp}\p{Lu}]*(?<! )$/u;
+/** Pattern of the hosts of routes: any text that a Host header can hold. */
+const HOST = new RegExp(`^${PRINTABLE}$`);
 
 /** Methods that a route may list; a route without a list allows all of them. */
 export const METHODS = ['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH'] as const;
@@ -115,6 +116,7 @@
   host: z
     .string({ error: 'a host name' })
     .regex(HOST, { error: 'a host name in lower case' })
+    .refine((host) => host === host.toLowerCase(), { error: 'a host name in lower case' })
     .optional(),
   service: printableNameSchema.optional(),
   split: z
