End a body that stalls after its deadline at the caller's daemon too

Cause: the timer of a call stops at the head of its answer, and the limit on its body stands at the daemon beside the server only, which is lost with it.

Change: the daemon of the caller applies abortOverdueBody to bodies from other daemons: one without a declared length ends 0.4 s after the deadline, one with a length when nothing of it comes for 0.4 s after it, unless the caller isn't reading. The other daemon ends such bodies 0.2 s after the deadline, so it still comes first where it runs. The channel is replaced if it is silent as well.

--- a/src/request/PeerTransport.test.ts
+++ b/src/request/PeerTransport.test.ts
@@ -82,6 +82,47 @@
   );
 });
 
+// Guards against a caller that waits without end for a body whose daemon was lost while it sent it.
+test('a body from a daemon that falls silent is ended soon after the deadline of its call', async () => {
+  const answers = [
+    new StreamedAnswer(200, { 'content-length': '10' }, SOURCE),
+    new StreamedAnswer(200, {}, SOURCE),
+  ];
+  const retired: string[] = [];
+  for (const answer of answers) {
+    const channels = {
+      get: () => ({
+        lastReceivedAt: 0,
+        send: () => ({ reply: Promise.resolve(answer), isSent: () => true }),
+      }),
+      retire: () => retired.push('replaces the channel'),
+    } as unknown as CallChannels;
+    const liveness = {
+      isUnresponsive: () => false,
+      reportResponse: () => undefined,
+      reportConnectionRefused: () => undefined,
+      reportNoRoute: () => undefined,
+      watch: () => ({ dispose: () => undefined }),
+    };
+    const transport = new PeerTransport(channels, async () => 'running', liveness, 60_000, {
+      now: () => 1_000,
+    });
+    const context = { idempotent: true, deadline: 1_010 } as AttemptContext;
+    await transport.send(UPSTREAM, REQUEST, context, new CancelController());
+    answer.push(Buffer.from('head'));
+  }
+  await Promise.all(
+    answers.map((answer) =>
+      answer.pipe({ write: () => true, onDrain: () => undefined }).catch(() => 0),
+    ),
+  );
+  assert.equal(
+    answers.map(({ isBroken }) => isBroken),
+    [true, true],
+  );
+  assert.is(retired.length, 2);
+});
+
 /** Sends a long call to a daemon that answers fence requests with the given replies, in order. */
 async function longCall(replies: readonly FenceResult[], reachable: boolean) {
   const clock = new ManualClock();
--- a/src/request/PeerTransport.ts
+++ b/src/request/PeerTransport.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../common/Types';
 import type CallChannel from './CallChannel';
 import type { ChannelReply } from './CallChannel';
+import abortOverdueBody, { PEER_BODY_LIMITS } from './abortOverdueBody';
 import type CallChannels from './CallChannels';
 import ExchangeError from './ExchangeError';
 import NotRunError from './NotRunError';
@@ -130,6 +131,7 @@
     try {
       const reply = await call.reply;
       this.liveness.reportResponse(upstream.address);
+      this.limitBody(reply, context, () => this.replaceSilent(upstream, channel));
       return PeerTransport.toAnswer(reply);
     } catch (error) {
       if (abortError) throw abortError;
@@ -143,6 +145,18 @@
     }
   }
 
+  /** Ends a body that stalls after its call's deadline, as the other daemon may be lost and end nothing. */
+  private limitBody(reply: ChannelReply, { deadline }: AttemptContext, onAbort: () => void): void {
+    if (!(reply instanceof StreamedAnswer)) return;
+    abortOverdueBody(reply, deadline - this.clock.now(), onAbort, PEER_BODY_LIMITS);
+  }
+
+  /** Has new calls use a new channel if nothing came on the current one while a body stalled. */
+  private replaceSilent({ address }: Upstream, channel: CallChannel): void {
+    const silentMs = this.clock.now() - channel.lastReceivedAt;
+    if (silentMs >= PEER_BODY_LIMITS.progressWindowMs) this.channels.retire(address, channel);
+  }
+
   /** After a call was aborted, has new calls use a new channel if the current one may be silent. */
   private replaceIfSilent({ address }: Upstream, channel: CallChannel, sentAt: number): void {
     const waitedLong = this.clock.now() - sentAt > SUSPICION_THRESHOLD_MS;
--- a/src/request/StreamedAnswer.ts
+++ b/src/request/StreamedAnswer.ts
@@ -67,6 +67,11 @@
     return this.state === 'broken';
   }
 
+  /** Whether the receiver of the body can't take more of it at the moment. */
+  public get isPaused(): boolean {
+    return this.source.paused;
+  }
+
   /** @param listener - Called once, when the body is complete, truncated or abandoned; at once if it is. */
   public onceClosed(listener: () => void): void {
     if (this.state === 'open') this.closeListeners.push(listener);
--- a/src/request/abortOverdueBody.test.ts
+++ b/src/request/abortOverdueBody.test.ts
@@ -4,7 +4,12 @@
 import abortOverdueBody from './abortOverdueBody';
 import StreamedAnswer from './StreamedAnswer';
 
-const LIMITS = { undeclaredGraceMs: 10, progressWindowMs: 40, minProgressBytes: 100 };
+const LIMITS = {
+  undeclaredGraceMs: 10,
+  progressWindowMs: 40,
+  minProgressBytes: 100,
+  waitsForReceiver: false,
+};
 
 /**
  * Receives a body with a declared length, one part per millisecond, until all parts are received or the
@@ -46,4 +51,15 @@
   );
 });
 
+test('a body that its receiver cannot take may stall, where that is allowed, until it can', async () => {
+  const source = { paused: true, pause() {}, resume() {}, abort() {} };
+  const answer = new StreamedAnswer(200, { 'content-length': '10000' }, source);
+  abortOverdueBody(answer, 0, () => undefined, { ...LIMITS, waitsForReceiver: true });
+  await delay(3 * LIMITS.progressWindowMs);
+  assert.not(answer.ended);
+  source.paused = false;
+  while (!answer.ended) await delay(1);
+  assert.ok(answer.isBroken);
+});
+
 test.run();
--- a/src/request/abortOverdueBody.ts
+++ b/src/request/abortOverdueBody.ts
@@ -9,6 +9,8 @@
   readonly progressWindowMs: number;
   /** Minimum number of bytes of a body with a declared length that must arrive in each interval. */
   readonly minProgressBytes: number;
+  /** Whether a body with a declared length may stall while its receiver can't take more of it. */
+  readonly waitsForReceiver: boolean;
 }
 
 /**
@@ -20,6 +22,18 @@
   undeclaredGraceMs: 200,
   progressWindowMs: 5_000,
   minProgressBytes: 32 * 1024,
+  waitsForReceiver: false,
+};
+
+/**
+ * Limits on a body from another daemon, which ends overdue ones itself. These hold if that daemon is lost
+ * while it sends the body, so that nothing ends on its side.
+ */
+export const PEER_BODY_LIMITS: OverdueBodyLimits = {
+  undeclaredGraceMs: 400,
+  progressWindowMs: 400,
+  minProgressBytes: 1,
+  waitsForReceiver: true,
 };
 
 /**
@@ -45,8 +59,10 @@
   };
   const checkProgress = (previousBytes: number) => {
     timer = setTimeout(() => {
-      if (answer.receivedBytes - previousBytes < limits.minProgressBytes) abortBody();
-      else checkProgress(answer.receivedBytes);
+      const hasProgress = answer.receivedBytes - previousBytes >= limits.minProgressBytes;
+      const isAwaited = limits.waitsForReceiver && answer.isPaused;
+      if (hasProgress || isAwaited) checkProgress(answer.receivedBytes);
+      else abortBody();
     }, limits.progressWindowMs);
   };
   timer =
