--- a/src/version/RouteTable.ts
+++ b/src/version/RouteTable.ts
@@ -3,6 +3,9 @@
 /** Maximum number of Host headers whose routes are remembered; then all are forgotten. */
 const MAX_REMEMBERED = 1_024;
 
+/** Maximum length of a Host header whose routes are remembered; longer ones have no routes of their own. */
+const MAX_REMEMBERED_LENGTH = 512;
+
 /** Routes of a host by path. */
 type Paths = ReadonlyMap<string, readonly Route[]>;
 
@@ -75,6 +78,7 @@
     if (this.remembered.has(host)) return this.remembered.get(host);
     const key = this.hosts.callKeys(host).find((candidate) => this.routesByHost.has(candidate));
     const paths = key === undefined ? undefined : this.routesByHost.get(key);
+    if (host.length > MAX_REMEMBERED_LENGTH) return paths;
     if (this.remembered.size >= MAX_REMEMBERED) this.remembered.clear();
     this.remembered.set(host, paths);
     return paths;
