Watch a body from another daemon before its deadline

Cause: progress was watched for 0.4 s from the deadline on, which leaves 0.1 s for everything else, though the bodies had stalled 2.3 s before.

Change: the watch begins 0.3 s before the deadline, so that a body that has stalled by then ends at the deadline, and one that stalls later within 0.3 s. The timers keep no process alive.

--- a/src/request/PeerTransport.test.ts
+++ b/src/request/PeerTransport.test.ts
@@ -111,11 +111,14 @@
     await transport.send(UPSTREAM, REQUEST, context, new CancelController());
     answer.push(Buffer.from('head'));
   }
+  // Nothing else keeps the process of the test alive.
+  const alive = setInterval(() => undefined, 1_000);
   await Promise.all(
     answers.map((answer) =>
       answer.pipe({ write: () => true, onDrain: () => undefined }).catch(() => 0),
     ),
   );
+  clearInterval(alive);
   assert.equal(
     answers.map(({ isBroken }) => isBroken),
     [true, true],
--- a/src/request/abortOverdueBody.test.ts
+++ b/src/request/abortOverdueBody.test.ts
@@ -8,6 +8,7 @@
   undeclaredGraceMs: 10,
   progressWindowMs: 40,
   minProgressBytes: 100,
+  leadMs: 0,
   waitsForReceiver: false,
 };
 
@@ -51,6 +52,24 @@
   );
 });
 
+// Guards against a body that stalled long before the deadline and is held beyond it.
+test('a body that is watched before the deadline ends at it if it has stalled by then', async () => {
+  const source = { paused: false, pause() {}, resume() {}, abort() {} };
+  const answer = new StreamedAnswer(200, { 'content-length': '10000' }, source);
+  const deadlineMs = 20_000;
+  const end = new AbortController();
+  const deadline = delay(deadlineMs, 'after the deadline', { signal: end.signal });
+  deadline.catch(() => undefined);
+  const aborted = new Promise<string>((resolve) => {
+    abortOverdueBody(answer, deadlineMs, () => resolve('aborted'), {
+      ...LIMITS,
+      leadMs: deadlineMs,
+    });
+  });
+  assert.is(await Promise.race([aborted, deadline]), 'aborted');
+  end.abort();
+});
+
 test('a body that its receiver cannot take may stall, where that is allowed, until it can', async () => {
   const source = { paused: true, pause() {}, resume() {}, abort() {} };
   const answer = new StreamedAnswer(200, { 'content-length': '10000' }, source);
--- a/src/request/abortOverdueBody.ts
+++ b/src/request/abortOverdueBody.ts
@@ -9,6 +9,8 @@
   readonly progressWindowMs: number;
   /** Minimum number of bytes of a body with a declared length that must arrive in each interval. */
   readonly minProgressBytes: number;
+  /** Time before the deadline from which on a body with a declared length is watched, in milliseconds. */
+  readonly leadMs: number;
   /** Whether a body with a declared length may stall while its receiver can't take more of it. */
   readonly waitsForReceiver: boolean;
 }
@@ -22,6 +24,7 @@
   undeclaredGraceMs: 200,
   progressWindowMs: 5_000,
   minProgressBytes: 32 * 1024,
+  leadMs: 0,
   waitsForReceiver: false,
 };
 
@@ -30,9 +33,10 @@
  * while it sends the body, so that nothing ends on its side.
  */
 export const PEER_BODY_LIMITS: OverdueBodyLimits = {
-  undeclaredGraceMs: 400,
-  progressWindowMs: 400,
+  undeclaredGraceMs: 300,
+  progressWindowMs: 300,
   minProgressBytes: 1,
+  leadMs: 300,
   waitsForReceiver: true,
 };
 
@@ -63,11 +67,15 @@
       const isAwaited = limits.waitsForReceiver && answer.isPaused;
       if (hasProgress || isAwaited) checkProgress(answer.receivedBytes);
       else abortBody();
-    }, limits.progressWindowMs);
+    }, limits.progressWindowMs).unref();
   };
   timer =
     answer.headers['content-length'] === undefined
       ? setTimeout(abortBody, clampTimerDelay(leftMs + limits.undeclaredGraceMs))
-      : setTimeout(() => checkProgress(answer.receivedBytes), clampTimerDelay(leftMs));
+      : setTimeout(
+          () => checkProgress(answer.receivedBytes),
+          clampTimerDelay(leftMs - limits.leadMs),
+        );
+  timer.unref();
   answer.onceClosed(() => clearTimeout(timer));
 }
