Wait for the revocation bound before a removed key must stay refused

The test killed the daemon right after the removal; it now waits until the bound has passed and then accepts no such call, as before.

--- a/test/restoredStore.test.ts
+++ b/test/restoredStore.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'uvu/assert';
 import { test } from 'uvu';
 import { request } from 'undici';
+import { setTimeout as delay } from 'node:timers/promises';
 import { REASON_HEADER } from '../src/request/callHeaders';
 import Fleet, { eventually } from '../stand-in/Fleet';
 import PlatformStoreServer from '../stand-in/PlatformStoreServer';
@@ -116,7 +117,10 @@
       await eventually('a contact is stored', () => store.keys(CONTACTS_TOPIC).length > 0);
       const early = store.copy();
       store.put(configurationWithKeys(2, [KEPT_KEY]));
+      const boundPassed = delay(BOUND_MS);
       await waitUntilInForce(2, daemons);
+      // Until then, a peer may still state a proof from before the removal.
+      await boundPassed;
       const outcomes = new Set<string>();
       for (const [index, daemon] of daemons.slice(0, 2).entries()) {
         store.isDown = true;
