Say why a failed call was not sent again, and in which stages late calls were

Callers saw late and refused calls; the counts of a route said how many were late, not by how much, and not in which stage. An attempt that failed left no trace of why there was no second one, and a wait for a quota's credit was part of the total only. Counts now have the stages of late calls, the wait for a credit, and the reason why a call was the last of its attempts. No decision changes.

--- a/src/request/Call.ts
+++ b/src/request/Call.ts
@@ -127,6 +127,9 @@
   /** Why no hedge was sent when one was due, for the log. */
   public unhedged: string | undefined;
 
+  /** Why the call was not sent again after its last attempt failed, for the log. */
+  public unretried: string | undefined;
+
   private readonly triedDaemons = new Set<DaemonId>();
 
   private readonly idempotent: boolean;
@@ -247,10 +250,12 @@
 
   /** Whether a response with a failure status may be retried; withdraws from the budget if so. */
   private mayRetryResponse(answer: Answer, signal: CancelSignal): boolean {
-    if (!RETRYABLE_STATUSES.has(answer.status) || !this.idempotent || this.attemptsAbove > 1) {
+    if (!RETRYABLE_STATUSES.has(answer.status)) {
+      this.unretried = undefined;
       return false;
     }
-    return !signal.aborted && this.hasTime() && this.withdrawRetry();
+    if (!this.idempotent || this.attemptsAbove > 1) return this.skipRetry('it may have run');
+    return this.isWanted(signal) && this.withdrawRetry();
   }
 
   /**
@@ -262,26 +267,41 @@
   private mayRetryError(error: CallError, tryNumber: number, signal: CancelSignal): boolean {
     const notRun = error instanceof NotRunError;
     if (notRun) this.recordRetryAfter(error);
-    if (signal.aborted || !this.hasTime()) return false;
+    if (!this.isWanted(signal)) return false;
     // If a call above in the call chain was retried, this call retries only attempts that provably
     // didn't run.
-    if (!notRun && (!this.idempotent || this.attemptsAbove > 1)) return false;
+    if (!notRun && (!this.idempotent || this.attemptsAbove > 1)) {
+      return this.skipRetry('it may have run');
+    }
     if (notRun && !error.details.reachedUpstream) {
-      if (tryNumber < MAX_FREE_ATTEMPTS) return this.receivedAttempts <= this.policy.route.retries;
+      if (tryNumber < MAX_FREE_ATTEMPTS) return this.hasRetries();
       // An attempt lost with its connection wasn't refused by a daemon, so only the retry budget
       // limits how often it is sent again.
-      return error.details.connectionLost === true && this.withdrawRetry();
+      if (!error.details.connectionLost) return this.skipRetry('daemons refused it');
     }
     return this.withdrawRetry();
   }
 
   /** Withdraws one retry from the budget, unless the route's retries are used up. */
   private withdrawRetry(): boolean {
-    return this.receivedAttempts <= this.policy.route.retries && this.budget.withdraw();
+    if (!this.hasRetries()) return false;
+    return this.budget.withdraw() || this.skipRetry('the retry budget is used up');
+  }
+
+  private hasRetries(): boolean {
+    if (this.receivedAttempts <= this.policy.route.retries) return true;
+    return this.skipRetry("the route's retries are used up");
+  }
+
+  /** Whether the caller still waits for a response. */
+  private isWanted(signal: CancelSignal): boolean {
+    if (signal.aborted) return this.skipRetry('nobody waits for it');
+    return this.services.clock.now() < this.times.deadline || this.skipRetry('its time is over');
   }
 
-  private hasTime(): boolean {
-    return this.services.clock.now() < this.times.deadline;
+  private skipRetry(reason: string): false {
+    this.unretried = reason;
+    return false;
   }
 
   private recordRetryAfter({ details }: NotRunError): void {
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -111,6 +111,8 @@
   waitedMs?: number;
   /** Longest time in milliseconds that the request's connection may have waited to be accepted. */
   acceptedAfterMs?: number;
+  /** Milliseconds that the call waited for a credit of its organisation's quota. */
+  creditMs?: number;
   call?: Call;
   outcome: Outcome;
   reason?: string;
@@ -365,7 +367,7 @@
     }
     const leftMs = deadline - clock.now();
     if (leftMs <= 0) throw new NotRunError('its time had passed before it was read');
-    const credit = await this.takeCredit(policy.organisation);
+    const credit = await this.takeCredit(policy.organisation, record);
     const times = { deadline, objective: arrivedAt + policy.route.objectiveMs };
     const budget = this.budget(policy.service.name);
     const throttle = this.throttle(policy);
@@ -398,9 +400,18 @@
     return `route ${name} is closed: ${closed}`;
   }
 
-  private takeCredit(organisation: Organisation | undefined): Credit | Promise<Credit> | undefined {
-    const quota = organisation?.quota;
-    return quota && this.services.takeCredit(organisation, quota);
+  private async takeCredit(
+    organisation: Organisation | undefined,
+    record: CallLogRecord,
+  ): Promise<Credit | undefined> {
+    if (!organisation?.quota) return undefined;
+    const { clock, takeCredit } = this.services;
+    const askedAt = clock.now();
+    try {
+      return await takeCredit(organisation, organisation.quota);
+    } finally {
+      Object.assign(record, { creditMs: clock.now() - askedAt });
+    }
   }
 
   /** Runs a call and gives its credit back if it didn't run. */
@@ -511,11 +522,13 @@
       allowedMs: record.allowedMs,
       waitedMs: record.waitedMs,
       acceptedAfterMs: record.acceptedAfterMs,
+      creditMs: record.creditMs && Math.round(record.creditMs),
       connection: record.position.connection,
       ahead: record.position.ahead,
       heldMs: Math.round(record.heldMs ?? 0),
       attempts: record.call?.traces,
       unhedged: record.call?.unhedged,
+      unretried: record.call?.unretried,
     });
   }
 
@@ -526,10 +539,12 @@
     this.statistics.record({
       route: record.route,
       result: record.reason ?? record.outcome,
-      isLate: acceptMs + readMs + durationMs > (record.objectiveMs ?? Infinity),
+      lateMs: acceptMs + readMs + durationMs - (record.objectiveMs ?? Infinity),
+      unretried: record.call?.unretried,
       stagesMs: {
         accept: acceptMs,
         read: readMs,
+        ...(record.creditMs !== undefined && { credit: record.creditMs }),
         ...(longestAttemptMs !== undefined && { longestAttempt: longestAttemptMs }),
         total: durationMs,
       },
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -357,7 +357,7 @@
     this.statistics.record({
       route,
       result,
-      isLate: now > objective,
+      lateMs: now - objective,
       stagesMs: {
         queue: (startedAt ?? now) - arrivedAt,
         ...(startedAt !== undefined && { run: now - startedAt }),
--- a/src/request/RouteStatistics.ts
+++ b/src/request/RouteStatistics.ts
@@ -12,8 +12,10 @@
   readonly route: string | undefined;
   /** What became of the call: its outcome, or why it was refused or failed. */
   readonly result: string;
-  /** Whether it missed its latency objective. */
-  readonly isLate: boolean;
+  /** Milliseconds by which it missed its latency objective; 0 or less if it met it. */
+  readonly lateMs: number;
+  /** Why a call that failed or was refused was not sent again; `undefined` for others. */
+  readonly unretried?: string | undefined;
   /** Milliseconds that the call spent in each stage that it reached, by the name of the stage. */
   readonly stagesMs: Readonly<Record<string, number>>;
 }
@@ -28,7 +30,10 @@
   calls: number;
   late: number;
   readonly results: Map<string, number>;
+  readonly unretried: Map<string, number>;
   readonly stages: Map<string, StageTotals>;
+  /** The same of late calls alone, and how late they were. */
+  readonly lateStages: Map<string, StageTotals>;
 }
 
 /** Returns a key if it is known or there is room for it, else the one for everything else. */
@@ -42,6 +47,22 @@
   return end < 0 ? reason : reason.slice(0, end);
 }
 
+function increment(counts: Map<string, number>, name: string): void {
+  const key = boundedKey(counts, withoutDetails(name));
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
+
+function addTime(stages: Map<string, StageTotals>, name: string, ms: number): void {
+  let stage = stages.get(name);
+  if (!stage) {
+    stage = { count: 0, sumMs: 0, maxMs: 0 };
+    stages.set(name, stage);
+  }
+  stage.count += 1;
+  stage.sumMs += ms;
+  if (ms > stage.maxMs) stage.maxMs = ms;
+}
+
 function summarize(stages: ReadonlyMap<string, StageTotals>) {
   const entries = [...stages].map(
     ([name, { count, sumMs, maxMs }]) =>
@@ -79,36 +100,43 @@
     const route = boundedKey(this.routes, sample.route ?? 'none');
     let totals = this.routes.get(route);
     if (!totals) {
-      totals = { calls: 0, late: 0, results: new Map(), stages: new Map() };
+      totals = {
+        calls: 0,
+        late: 0,
+        results: new Map(),
+        unretried: new Map(),
+        stages: new Map(),
+        lateStages: new Map(),
+      };
       this.routes.set(route, totals);
     }
     totals.calls += 1;
-    if (sample.isLate) totals.late += 1;
-    const result = boundedKey(totals.results, withoutDetails(sample.result));
-    totals.results.set(result, (totals.results.get(result) ?? 0) + 1);
+    increment(totals.results, sample.result);
+    if (sample.unretried !== undefined) increment(totals.unretried, sample.unretried);
+    const isLate = sample.lateMs > 0;
+    if (isLate) {
+      totals.late += 1;
+      addTime(totals.lateStages, 'late', sample.lateMs);
+    }
     for (const name of Object.keys(sample.stagesMs)) {
       const ms = sample.stagesMs[name]!;
-      let stage = totals.stages.get(name);
-      if (!stage) {
-        stage = { count: 0, sumMs: 0, maxMs: 0 };
-        totals.stages.set(name, stage);
-      }
-      stage.count += 1;
-      stage.sumMs += ms;
-      if (ms > stage.maxMs) stage.maxMs = ms;
+      addTime(totals.stages, name, ms);
+      if (isLate) addTime(totals.lateStages, name, ms);
     }
   }
 
   private log(): void {
     const now = this.clock.now();
-    for (const [route, { calls, late, results, stages }] of this.routes) {
+    for (const [route, { calls, late, results, unretried, stages, lateStages }] of this.routes) {
       this.logger.log(this.message, {
         route,
         overMs: Math.round(now - this.loggedAt),
         calls,
         late,
         results: Object.fromEntries(results),
+        ...(unretried.size > 0 && { unretried: Object.fromEntries(unretried) }),
         stages: summarize(stages),
+        ...(late > 0 && { lateStages: summarize(lateStages) }),
       });
     }
     this.routes.clear();
