Keep slots of an upstream free of long calls while short ones wait for them

What callers saw: of the most urgent route the smallest share was served in time while long calls came more often to a service that its runs call.

Cause: a queued short call is first in the queue, but an upstream of 4 slots, each held by runs of 780 ms, has none free for 100 to 200 ms on average. The runs that wait for these inner calls hold their slots for 464 instead of some 300 ms, and fail if the wait takes too long. The class of fault: who waits isn't charged with what its waiting costs elsewhere.

Change: long calls leave slots free as SlotReserve decides: the slots held elsewhere by waiting short calls and the slots idle here while long calls wait are measured and kept equal.

--- a/src/request/AdmissionController.ts
+++ b/src/request/AdmissionController.ts
@@ -4,6 +4,7 @@
 import OrganisationUse from './OrganisationUse';
 import ServedShares from './ServedShares';
 import ServiceTimes from './ServiceTimes';
+import SlotReserve from './SlotReserve';
 import type { CancelSignal } from './Types';
 
 /** Share of the configured slots that an upstream gets at the start of its warm-up. */
@@ -132,6 +133,8 @@
  * 5. Calls of the route of which a smaller share was served.
  * 6. Calls with the earlier objective.
  *
+ * Long calls leave as many slots free as {@link SlotReserve} keeps for short ones.
+ *
  * A call that can't meet its objective is queued only if its predicted wait is short. A call that
  * would miss its deadline is refused on arrival, or as soon as later arrivals with precedence make
  * it miss the deadline.
@@ -152,6 +155,8 @@
 
   private readonly organisationUse = new OrganisationUse();
 
+  private readonly reserve = new SlotReserve();
+
   private readonly runningCalls = new Set<RunningCall>();
 
   private queue: QueuedCall[] = [];
@@ -194,9 +199,13 @@
     return this.queue.length;
   }
 
-  /** Whether a call that arrives now gets a slot immediately. */
-  public get hasFreeSlot(): boolean {
-    return this.queue.length === 0 && this.occupiedSlots() < this.availableSlots();
+  /**
+   * @param request - A call.
+   * @returns Whether it gets a slot immediately if it arrives now.
+   */
+  public hasFreeSlot(request: AdmissionRequest): boolean {
+    if (this.queue.length > 0) return false;
+    return this.mayStart({ request, durationMs: this.expectedDurationMs(request) });
   }
 
   /**
@@ -213,7 +222,8 @@
   /** Load of the upstream, by which other daemons choose upstreams for their calls. */
   public get slotLoad(): SlotLoad {
     const slots = this.availableSlots();
-    const waitMs = this.occupiedSlots() < slots ? 0 : this.predictedWaitMs(this.queue);
+    const isFree = this.queue.length === 0 && this.occupiedSlots() < slots;
+    const waitMs = isFree ? 0 : this.predictedWaitMs(this.queue);
     return { running: this.running, waiting: this.waiting, slots, waitMs };
   }
 
@@ -240,7 +250,7 @@
    */
   public acquire(request: AdmissionRequest, signal: CancelSignal): Promise<Release> {
     if (signal.aborted) return Promise.reject(this.notRunError('the caller left before it came'));
-    if (this.hasFreeSlot) return Promise.resolve(this.takeSlot(request));
+    if (this.hasFreeSlot(request)) return Promise.resolve(this.takeSlot(request));
     const durationMs = this.expectedDurationMs(request);
     const refusal = this.refusalReason(request, durationMs);
     if (refusal) {
@@ -263,21 +273,30 @@
     signal: CancelSignal,
   ): Promise<Release> {
     return new Promise((resolve, reject) => {
+      const queuedAt = this.clock.now();
+      const recordWait = () => {
+        if (!this.isShort({ request, durationMs })) return;
+        this.reserve.recordWait(this.clock.now() - queuedAt, this.availableSlots());
+      };
       const onAbort = () => {
         this.queue = this.queue.filter((entry) => entry.request !== request);
+        recordWait();
         reject(this.notRunError('the caller left while it waited'));
       };
-      const stopListening = () => signal.removeEventListener('abort', onAbort);
+      const leaveQueue = () => {
+        signal.removeEventListener('abort', onAbort);
+        recordWait();
+      };
       const entry: QueuedCall = {
         request,
         durationMs,
         expiresAt: this.expiryTime(request, durationMs),
         grant: () => {
-          stopListening();
+          leaveQueue();
           resolve(this.takeSlot(request));
         },
         refuse: (reason) => {
-          stopListening();
+          leaveQueue();
           this.servedShares.record(request.route, false);
           reject(this.notRunError(reason));
         },
@@ -321,14 +340,26 @@
   private grantFreeSlots(): void {
     this.refuseExpired();
     this.refuseMovable();
-    while (this.queue.length > 0 && this.occupiedSlots() < this.availableSlots()) {
+    while (this.queue.length > 0) {
       const next = this.firstInOrder();
+      if (!this.mayStart(next)) break;
       this.removeFromQueue(next);
       next.grant();
     }
+    const isWithheld = this.queue.length > 0;
+    const idleSlots = isWithheld ? Math.max(0, this.availableSlots() - this.occupiedSlots()) : 0;
+    this.reserve.setIdle(idleSlots, this.clock.now());
     this.scheduleCheck();
   }
 
+  /** Whether a slot is free that isn't kept for calls other than this one. */
+  private mayStart(call: Candidate): boolean {
+    const slots = this.availableSlots();
+    const free = slots - this.occupiedSlots();
+    if (free <= 0) return false;
+    return this.isShort(call) || free > this.reserve.size(slots);
+  }
+
   private firstInOrder(): QueuedCall {
     const now = this.clock.now();
     return this.queue.reduce((best, entry) => (this.precedes(entry, best, now) ? entry : best));
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -187,7 +187,7 @@
     let mayHaveRun = false;
     this.openAttempts += 1;
     try {
-      const wasQueued = !this.admission.hasFreeSlot;
+      const wasQueued = !this.admission.hasFreeSlot(context);
       const release = await this.admission.acquire(context, signal);
       startedAt = clock.now();
       // After a long turn of the event loop, a queued call may get a slot although its caller has
