Report to each route the calls that one of it would wait for

What callers saw: inner calls waited at upstreams whose queue they would have preceded nobody in, while others had a slot for them, and held their callers' slots.

Cause: an upstream reported all of its running and queued calls, and daemons chose by that for every route. A short call goes first, so a queue of long ones says nothing about its wait; a long call can't use slots that are kept for short ones, which looked free to it. The usual load of upstreams that weren't heard of lately was one for all routes, too.

Change: reports carry the number of calls ahead of one of the same route, which the balancer uses; older releases leave it out. What zones use is as before.

--- a/src/request/AdmissionController.test.ts
+++ b/src/request/AdmissionController.test.ts
@@ -159,6 +159,32 @@
   assert.equal(counts, [2, 4, 8]);
 });
 
+test('queued calls that a call of higher rank would not wait for don’t count as ahead of it', async () => {
+  const clock = new ManualClock();
+  const admission = new AdmissionController({ ...SERVICE, queue: 8 }, clock, 0);
+  const durations = { check: 20, lookup: 200, report: 400 };
+  const requestOf = (route: string, priority: Priority) => {
+    const times = { deadline: clock.now() + 60_000, objective: clock.now() + 60_000 };
+    return { route: route as RouteName, priority, ...times };
+  };
+  for (const [route, durationMs] of Object.entries(durations)) {
+    const release = await admission.acquire(requestOf(route, INTERACTIVE), NEVER);
+    clock.advance(durationMs);
+    release();
+  }
+  for (let call = 0; call < 5; call += 1) {
+    void admission.acquire(requestOf('report', BACKGROUND), NEVER);
+  }
+  void admission.acquire(requestOf('lookup', INTERACTIVE), NEVER);
+  const ahead = {
+    check: admission.callsAhead(requestOf('check', BACKGROUND)),
+    lookup: admission.callsAhead(requestOf('lookup', INTERACTIVE)),
+    report: admission.callsAhead(requestOf('report', BACKGROUND)),
+    unknown: admission.callsAhead(requestOf('unknown', BACKGROUND)),
+  };
+  assert.equal(ahead, { check: 2, lookup: 3, report: 6, unknown: 6 });
+});
+
 test('slots released unused do not lower the average call duration', async () => {
   const clock = new ManualClock();
   const admission = new AdmissionController(SERVICE, clock, 0);
--- a/src/request/AdmissionController.ts
+++ b/src/request/AdmissionController.ts
@@ -227,6 +227,23 @@
     return { running: this.running, waiting: this.waiting, slots, waitMs };
   }
 
+  /**
+   * @param request - Route and priority of a call.
+   * @returns Number of calls that hold a slot or would get one before it, and of slots that it must leave free.
+   */
+  public callsAhead({ route, priority }: Pick<AdmissionRequest, 'route' | 'priority'>): number {
+    const durationMs = this.serviceTimes.averageMs(route);
+    if (durationMs === undefined) return this.running + this.waiting;
+    const isShort = this.isShort({ durationMs });
+    const slots = this.availableSlots();
+    const idle = Math.max(0, slots - this.occupiedSlots());
+    const kept = isShort ? 0 : Math.min(idle, this.reserve.size(slots));
+    const before = this.queue.filter(
+      (entry) => this.isShort(entry) || (!isShort && entry.request.priority <= priority),
+    );
+    return this.running + before.length + kept;
+  }
+
   /**
    * @param route - A route.
    * @returns Average time in ms that calls of the route hold a slot; `undefined` before the first.
@@ -275,7 +292,7 @@
     return new Promise((resolve, reject) => {
       const queuedAt = this.clock.now();
       const recordWait = () => {
-        if (!this.isShort({ request, durationMs })) return;
+        if (!this.isShort({ durationMs })) return;
         this.reserve.recordWait(this.clock.now() - queuedAt, this.availableSlots());
       };
       const onAbort = () => {
@@ -388,7 +405,7 @@
     return this.organisationUse.read(first, now) - this.organisationUse.read(second, now);
   }
 
-  private isShort({ durationMs }: Candidate): boolean {
+  private isShort({ durationMs }: Pick<Candidate, 'durationMs'>): boolean {
     return durationMs <= SHORT_CALL_FRACTION * this.serviceTimes.meanMs;
   }
 
@@ -430,7 +447,7 @@
   private expiryTime(request: AdmissionRequest, durationMs: number): number {
     const now = this.clock.now();
     const latestStart = request.deadline - durationMs;
-    if (this.isShort({ request, durationMs })) return latestStart;
+    if (this.isShort({ durationMs })) return latestStart;
     if (AdmissionController.meetsObjective({ request, durationMs }, now)) {
       const latestStartInTime = request.objective - OBJECTIVE_MARGIN_FACTOR * durationMs;
       return Math.min(latestStart, latestStartInTime + MISSED_OBJECTIVE_GRACE_MS);
--- a/src/request/ForecastBalancer.ts
+++ b/src/request/ForecastBalancer.ts
@@ -11,6 +11,7 @@
   PlacementCriteria,
   Upstream,
   UpstreamDirectory,
+  UpstreamLoad,
 } from './Types';
 
 // All costs have the same unit: 1 is the value that a response in time has for the caller.
@@ -145,6 +146,15 @@
   readonly expectedMs: number;
 }
 
+function routeKey(service: ServiceName, route: RouteName): string {
+  return `${service} ${route}`;
+}
+
+/** Number of calls that a call of the same route as the report's waits for, or runs beside. */
+function callsAhead({ ahead, running, waiting }: UpstreamLoad): number {
+  return ahead ?? running + waiting;
+}
+
 /** Modelled share of late responses for a given ratio of expected time to latency objective. */
 function lateShare(ratio: number): number {
   if (ratio < MIN_LATE_RATIO) return 0;
@@ -179,7 +189,8 @@
 export default class ForecastBalancer implements Balancer {
   private readonly statistics = new Map<DaemonId, UpstreamStatistics>();
 
-  private readonly utilisations = new Map<ServiceName, number>();
+  /** By service and route, as calls of different routes don't wait for the same ones. */
+  private readonly utilisations = new Map<string, number>();
 
   /** Number of responses with which a report could be passed on. */
   private relayCalls = 0;
@@ -207,7 +218,7 @@
     const conditions: Conditions = {
       placement,
       now,
-      typicalUtilisation: this.utilisations.get(service) ?? 0,
+      typicalUtilisation: this.utilisations.get(routeKey(service, route)) ?? 0,
       typicalMs: latencyMs ?? INITIAL_LATENCY_MS,
       costPerMs: latencyMs ? TIME_COST / latencyMs : 0,
     };
@@ -276,15 +287,16 @@
     if (result.kind !== 'answered' && result.kind !== 'refused') return;
     if (!result.load) return;
     stats.recordLoad(route, result.load, now);
-    const { running, waiting, slots, relayed } = result.load;
+    const { slots, relayed } = result.load;
     if (relayed) this.learn(service, relayed, now);
-    const known = this.utilisations.get(service) ?? 0;
-    const change = UTILISATION_WEIGHT * ((running + waiting) / slots - known);
-    this.utilisations.set(service, known + change);
+    const key = routeKey(service, route);
+    const known = this.utilisations.get(key) ?? 0;
+    const change = UTILISATION_WEIGHT * (callsAhead(result.load) / slots - known);
+    this.utilisations.set(key, known + change);
   }
 
   public latencyMs(service: ServiceName, route: RouteName): number | undefined {
-    const latency = this.latencies.get(`${service} ${route}`);
+    const latency = this.latencies.get(routeKey(service, route));
     return latency && latency.count >= MIN_RESPONSES ? latency.averageMs : undefined;
   }
 
@@ -340,7 +352,7 @@
   }
 
   private recordLatency(service: ServiceName, route: RouteName, latencyMs: number): void {
-    const key = `${service} ${route}`;
+    const key = routeKey(service, route);
     const latency = this.latencies.get(key) ?? { averageMs: latencyMs, count: 0 };
     this.latencies.set(key, latency);
     latency.averageMs += SERVICE_LATENCY_WEIGHT * (latencyMs - latency.averageMs);
@@ -447,7 +459,7 @@
     if (!stats) return typicalLoad;
     if (!stats.load) return Math.max(stats.inFlight, typicalLoad);
     const weight = Math.max(0, 1 - ageMs / LOAD_STALE_MS);
-    const reported = stats.load.running + stats.load.waiting + stats.startedSinceReport;
+    const reported = callsAhead(stats.load) + stats.startedSinceReport;
     return Math.max(stats.inFlight, weight * reported + (1 - weight) * typicalLoad);
   }
 
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -140,12 +140,14 @@
   }
 
   /**
-   * @param context - Call whose route's average duration is reported.
+   * @param context - Call on whose route it is reported.
    * @returns Load report by which other daemons balance their calls.
    */
-  public loadFor({ route }: Pick<AttemptContext, 'route'>): UpstreamLoad {
+  public loadFor(context: Pick<AttemptContext, 'route' | 'priority'>): UpstreamLoad {
+    const { route } = context;
     return {
       ...this.admission.slotLoad,
+      ahead: this.admission.callsAhead(context),
       durationMs: this.admission.durationMs(route),
       failureShare: this.failureShare,
       // Other daemons add the lag to the expected duration, and forget it within two seconds.
--- a/src/request/Types.ts
+++ b/src/request/Types.ts
@@ -314,6 +314,11 @@
   readonly slots: number;
   /** Expected time until a call that arrives now gets a slot, in milliseconds. */
   readonly waitMs: number;
+  /**
+   * Number of calls on other routes or this one that keep a call of the same route from a slot: those that hold one or
+   * would get one before it, and slots that it must leave free; `undefined` from older releases.
+   */
+  readonly ahead?: number | undefined;
   /**
    * Average duration, in milliseconds, of calls on the same route as the call whose response or
    * refusal carries this report; `undefined` before the first call.
--- a/src/request/channelFrames.ts
+++ b/src/request/channelFrames.ts
@@ -121,7 +121,7 @@
 function encodeLoad(load: UpstreamLoad | undefined): Fields | null {
   if (!load) return null;
   const { running, waiting, slots, waitMs, durationMs, failureShare, lagMs } = load;
-  const { meanMs, arrivals, relayed } = load;
+  const { meanMs, arrivals, relayed, ahead } = load;
   return [
     running,
     waiting,
@@ -133,6 +133,7 @@
     meanMs === undefined ? null : Math.round(meanMs),
     arrivals ?? null,
     relayed ? encodeRelayed(relayed) : null,
+    ahead ?? null,
   ];
 }
 
@@ -256,6 +257,7 @@
     meanMs,
     arrivals,
     relayed,
+    ahead,
   ] = expectArray(value);
   return {
     running: expectNumber(running),
@@ -268,6 +270,7 @@
     ...(isPresent(meanMs) && { meanMs: expectNumber(meanMs) }),
     ...(isPresent(arrivals) && { arrivals: expectArray(arrivals).map(expectNumber) }),
     ...(isPresent(relayed) && { relayed: decodeRelayed(relayed) }),
+    ...(isPresent(ahead) && { ahead: expectNumber(ahead) }),
   };
 }
 
--- a/stand-in/InnerCallReplay.ts
+++ b/stand-in/InnerCallReplay.ts
@@ -220,7 +220,7 @@
       try {
         const times = { deadline, objective, attempts: tried.size };
         const result = await this.offer(kind, target, times);
-        const load = InnerCallReplay.loadOf(target, route);
+        const load = InnerCallReplay.loadOf(target, kind);
         await this.timeline.until(clock.now() + DELAY_MS);
         const latencyMs = clock.now() - sentAt;
         balancer.end(
@@ -231,7 +231,7 @@
         return result;
       } catch (error) {
         if (!(error instanceof NotRunError)) throw error;
-        const load = InnerCallReplay.loadOf(target, route);
+        const load = InnerCallReplay.loadOf(target, kind);
         await this.timeline.until(clock.now() + DELAY_MS);
         balancer.end(upstream, route, { kind: 'refused', load });
         retryAfterMs = error.details.retryAfterMs ?? 0;
@@ -240,9 +240,14 @@
     return retryAfterMs;
   }
 
-  private static loadOf({ admission }: ReplayedUpstream, route: RouteName): UpstreamLoad {
+  private static loadOf(
+    { admission }: ReplayedUpstream,
+    { name, priority }: ReplayedKind,
+  ): UpstreamLoad {
+    const route = name as RouteName;
     return {
       ...admission.slotLoad,
+      ahead: admission.callsAhead({ route, priority }),
       durationMs: admission.durationMs(route),
       failureShare: 0,
       lagMs: admission.silentMs,
