--- a/src/process/Types.ts
+++ b/src/process/Types.ts
@@ -16,6 +16,7 @@
 import type { LinkState } from '../connection/Overlay';
 import type { QuotaState } from '../connection/QuotaExchange';
 import type { LogReaderState, MemberRecord } from '../connection/Types';
+import type { SlotCounts } from '../request/LocalUpstream';
 import type { QuotaUse } from '../request/QuotaClient';
 import type { RolloutState } from '../rollout/Rollout';
 import type { Organisation, Provenance, Route, Service } from '../version/Types';
@@ -107,13 +108,11 @@
   readonly startedAt: number | undefined;
 }
 
-/** The upstream on a daemon's VM, and the number of calls running and queued there. */
-export interface UpstreamStatus {
+/** The upstream on a daemon's VM, and the use of its slots. */
+export interface UpstreamStatus extends SlotCounts {
   readonly service: ServiceName;
   readonly address: Address;
   readonly state: string;
-  readonly running: number;
-  readonly waiting: number;
 }
 
 /** How a call would be routed, as reported by the command `explain`. */
--- a/src/process/UpstreamRegistration.ts
+++ b/src/process/UpstreamRegistration.ts
@@ -3,7 +3,7 @@
 import type { UpstreamState, Withdrawal } from '../connection/Types';
 import type { UpstreamLimits } from '../request/AdmissionController';
 import type AttemptRegistry from '../request/AttemptRegistry';
-import LocalUpstream from '../request/LocalUpstream';
+import LocalUpstream, { type SlotCounts } from '../request/LocalUpstream';
 import type { LocalService } from '../request/PeerCallHandler';
 import type { HeaderNames, RelayedReport } from '../request/Types';
 import UpstreamConnections from '../request/UpstreamConnections';
@@ -34,6 +34,8 @@
  */
 const START_SLACK_MS = 1_000;
 
+const NO_SLOTS_USED: SlotCounts = { running: 0, waiting: 0, reserved: 0 };
+
 /** State of the upstream that holds the lease. */
 interface RegisteredUpstream {
   announcement: Announcement;
@@ -150,7 +152,7 @@
     if (!this.registered) return null;
     const { announcement, upstream } = this.registered;
     const { service, address, state } = announcement;
-    return { service, address, state, ...(upstream?.counts ?? { running: 0, waiting: 0 }) };
+    return { service, address, state, ...(upstream?.counts ?? NO_SLOTS_USED) };
   }
 
   /** Number of calls at the upstream divided by the number that it can run concurrently. */
--- a/src/request/AdmissionController.ts
+++ b/src/request/AdmissionController.ts
@@ -199,6 +199,11 @@
     return this.queue.length;
   }
 
+  /** Number of slots that long calls must leave free for short ones. */
+  public get reserved(): number {
+    return this.reserve.size(this.availableSlots());
+  }
+
   /**
    * @param request - A call.
    * @returns Whether it gets a slot immediately if it arrives now.
@@ -235,9 +240,8 @@
     const durationMs = this.serviceTimes.averageMs(route);
     if (durationMs === undefined) return this.running + this.waiting;
     const isShort = this.isShort({ durationMs });
-    const slots = this.availableSlots();
-    const idle = Math.max(0, slots - this.occupiedSlots());
-    const kept = isShort ? 0 : Math.min(idle, this.reserve.size(slots));
+    const idle = Math.max(0, this.availableSlots() - this.occupiedSlots());
+    const kept = isShort ? 0 : Math.min(idle, this.reserved);
     const before = this.queue.filter(
       (entry) => this.isShort(entry) || (!isShort && entry.request.priority <= priority),
     );
@@ -371,10 +375,9 @@
 
   /** Whether a slot is free that isn't kept for calls other than this one. */
   private mayStart(call: Candidate): boolean {
-    const slots = this.availableSlots();
-    const free = slots - this.occupiedSlots();
+    const free = this.availableSlots() - this.occupiedSlots();
     if (free <= 0) return false;
-    return this.isShort(call) || free > this.reserve.size(slots);
+    return this.isShort(call) || free > this.reserved;
   }
 
   private firstInOrder(): QueuedCall {
--- a/src/request/LocalUpstream.ts
+++ b/src/request/LocalUpstream.ts
@@ -56,6 +56,16 @@
 /** Lowest HTTP status that counts as a failure of the upstream. */
 const MIN_FAILURE_STATUS = 500;
 
+/** Use of an upstream's slots. */
+export interface SlotCounts {
+  /** Number of calls that hold a slot. */
+  readonly running: number;
+  /** Number of calls that are queued for a slot. */
+  readonly waiting: number;
+  /** Number of slots that long calls must leave free for short ones. */
+  readonly reserved: number;
+}
+
 /** Dependencies of a local upstream. */
 export interface LocalUpstreamServices {
   /** Creates a connection pool for the upstream. */
@@ -134,9 +144,10 @@
     return this.admission.load;
   }
 
-  /** Numbers of calls that hold a slot and of calls queued for one. */
-  public get counts(): { readonly running: number; readonly waiting: number } {
-    return { running: this.admission.running, waiting: this.admission.waiting };
+  /** Numbers of calls that hold a slot, of calls queued for one, and of slots kept free of long calls. */
+  public get counts(): SlotCounts {
+    const { running, waiting, reserved } = this.admission;
+    return { running, waiting, reserved };
   }
 
   /**
--- a/src/request/PeerCallHandler.ts
+++ b/src/request/PeerCallHandler.ts
@@ -74,6 +74,7 @@
       objectiveLeftMs: Math.round(objective - clock.now()),
       running: counts?.running,
       waiting: counts?.waiting,
+      reserved: counts?.reserved,
     });
   }
 
