Search the queue for the next call only while a slot is free

Cause: since slots are kept, the first call in order was looked for on each arrival and check, also while no slot was free.

--- a/src/request/AdmissionController.ts
+++ b/src/request/AdmissionController.ts
@@ -240,12 +240,15 @@
     const durationMs = this.serviceTimes.averageMs(route);
     if (durationMs === undefined) return this.running + this.waiting;
     const isShort = this.isShort({ durationMs });
-    const idle = Math.max(0, this.availableSlots() - this.occupiedSlots());
-    const kept = isShort ? 0 : Math.min(idle, this.reserved);
-    const before = this.queue.filter(
-      (entry) => this.isShort(entry) || (!isShort && entry.request.priority <= priority),
-    );
-    return this.running + before.length + kept;
+    let ahead = this.running;
+    if (!isShort) {
+      const idle = Math.max(0, this.availableSlots() - this.occupiedSlots());
+      ahead += Math.min(idle, this.reserved);
+    }
+    for (const entry of this.queue) {
+      if (this.isShort(entry) || (!isShort && entry.request.priority <= priority)) ahead += 1;
+    }
+    return ahead;
   }
 
   /**
@@ -361,7 +364,7 @@
   private grantFreeSlots(): void {
     this.refuseExpired();
     this.refuseMovable();
-    while (this.queue.length > 0) {
+    while (this.queue.length > 0 && this.occupiedSlots() < this.availableSlots()) {
       const next = this.firstInOrder();
       if (!this.mayStart(next)) break;
       this.removeFromQueue(next);
