Don't keep slots for waits that short calls cause themselves

Where an upstream is full of short calls, their waits raised the number of kept slots to all but one, and a long call that came then found none until idle slots had lowered it again, a second or more. A wait counts if a long call runs when it begins.

--- a/src/request/AdmissionController.test.ts
+++ b/src/request/AdmissionController.test.ts
@@ -185,6 +185,70 @@
   assert.equal(ahead, { check: 2, lookup: 3, report: 6, unknown: 6 });
 });
 
+test('no slots are kept for waits that short calls cause themselves', async () => {
+  const clock = new ManualClock();
+  const admission = new AdmissionController({ ...SERVICE, slots: 4, queue: 100 }, clock, 0);
+  const requestOf = (route: string) => {
+    const times = { deadline: clock.now() + 60_000, objective: clock.now() + 60_000 };
+    return { route: route as RouteName, priority: INTERACTIVE, ...times };
+  };
+  const use = async (route: string, durationMs: number) => {
+    const release = await admission.acquire(requestOf(route), NEVER);
+    clock.advance(durationMs);
+    release();
+  };
+  await use('report', 400);
+  await use('check', 20);
+  const releases: Release[] = [];
+  const keep = (release: Release) => releases.push(release);
+  for (let call = 0; call < 40; call += 1) {
+    void admission.acquire(requestOf('check'), NEVER).then(keep);
+  }
+  for (let turn = 0; turn < 10; turn += 1) {
+    await flushPromises();
+    clock.advance(200);
+    for (const release of releases.splice(0)) release();
+  }
+  assert.is(admission.reserved, 0);
+});
+
+test('slots are kept while short calls wait for long ones, and released while they are idle', async () => {
+  const clock = new ManualClock();
+  const admission = new AdmissionController({ ...SERVICE, slots: 4, queue: 100 }, clock, 0);
+  const requestOf = (route: string) => {
+    const times = { deadline: clock.now() + 60_000, objective: clock.now() + 60_000 };
+    return { route: route as RouteName, priority: INTERACTIVE, ...times };
+  };
+  const releases: Release[] = [];
+  const acquire = (route: string) =>
+    void admission.acquire(requestOf(route), NEVER).then((release) => releases.push(release));
+  const end = async (ms: number) => {
+    clock.advance(ms);
+    for (const release of releases.splice(0)) release();
+    await flushPromises();
+  };
+  for (const [route, ms] of [
+    ['report', 400],
+    ['check', 20],
+  ] as const) {
+    acquire(route);
+    await flushPromises();
+    await end(ms);
+  }
+  for (let call = 0; call < 12; call += 1) acquire('report');
+  await flushPromises();
+  for (let call = 0; call < 4; call += 1) acquire('check');
+  await end(400);
+  const whenWaited = admission.reserved;
+  await end(20);
+  const { running } = admission;
+  for (let turn = 0; turn < 10; turn += 1) await end(400);
+  assert.equal(
+    { whenWaited, running, afterwards: admission.reserved },
+    { whenWaited: 2, running: 2, afterwards: 0 },
+  );
+});
+
 test('slots released unused do not lower the average call duration', async () => {
   const clock = new ManualClock();
   const admission = new AdmissionController(SERVICE, clock, 0);
--- a/src/request/AdmissionController.ts
+++ b/src/request/AdmissionController.ts
@@ -113,6 +113,7 @@
 
 interface RunningCall {
   readonly startedAt: number;
+  readonly isShort: boolean;
   readonly overdueAt: number;
   /** Monotonic time in ms from which the call is evidence that the upstream is silent. */
   readonly silentAt: number;
@@ -298,8 +299,9 @@
   ): Promise<Release> {
     return new Promise((resolve, reject) => {
       const queuedAt = this.clock.now();
+      const waitsForLongCall = this.isShort({ durationMs }) && this.runsLongCall();
       const recordWait = () => {
-        if (!this.isShort({ durationMs })) return;
+        if (!waitsForLongCall) return;
         this.reserve.recordWait(this.clock.now() - queuedAt, this.availableSlots());
       };
       const onAbort = () => {
@@ -332,6 +334,11 @@
     });
   }
 
+  private runsLongCall(): boolean {
+    for (const { isShort } of this.runningCalls) if (!isShort) return true;
+    return false;
+  }
+
   private takeSlot(request: AdmissionRequest): Release {
     const startedAt = this.clock.now();
     const expectedMs = this.expectedDurationMs(request);
@@ -342,6 +349,7 @@
       expectedMs > 0 ? Math.max(MIN_SILENT_MS, SILENT_FACTOR * expectedMs) : Infinity;
     const running: RunningCall = {
       startedAt,
+      isShort: this.isShort({ durationMs: expectedMs }),
       overdueAt: startedAt + overdueMs,
       silentAt: startedAt + silentMs,
     };
--- a/src/request/SlotReserve.ts
+++ b/src/request/SlotReserve.ts
@@ -31,7 +31,7 @@
   }
 
   /**
-   * Records that a short call has left the queue, whether it got a slot or not.
+   * Records that a short call has left the queue that came while long calls ran, whether it got a slot or not.
    *
    * @param waitMs - Milliseconds that it waited.
    * @param slots - Number of slots of the upstream.
