--- a/src/request/AdmissionController.test.ts
+++ b/src/request/AdmissionController.test.ts
@@ -4,6 +4,8 @@
 import type { RouteName, ServiceName } from '../common/Types';
 import type { Priority, Service } from '../version/Types';
 import AdmissionController, { type Release } from './AdmissionController';
+import CancelController from './CancelController';
+import type { CancelSignal } from './Types';
 
 const SERVICE: Service = {
   name: 'stock' as ServiceName,
@@ -16,7 +18,7 @@
 const ROUTE = 'lookup' as RouteName;
 const INTERACTIVE = 0;
 const BACKGROUND = 1;
-const NEVER = new AbortController().signal;
+const NEVER = new CancelController();
 
 /** Runs the continuations of settled promises. */
 async function flushPromises(): Promise<void> {
@@ -41,7 +43,7 @@
     name: string,
     priority: Priority = INTERACTIVE,
     deadline = Infinity,
-    signal = NEVER,
+    signal: CancelSignal = NEVER,
   ): void {
     const request = { route: ROUTE, priority, deadline, objective: deadline };
     this.admission.acquire(request, signal).then(
