--- a/src/request/AdmissionController.test.ts
+++ b/src/request/AdmissionController.test.ts
@@ -25,6 +25,12 @@
   for (let turn = 0; turn < 10; turn += 1) await Promise.resolve();
 }
 
+/** A call of a route that may wait for a minute. */
+function requestOf(route: string, clock: ManualClock, priority: Priority = INTERACTIVE) {
+  const times = { deadline: clock.now() + 60_000, objective: clock.now() + 60_000 };
+  return { route: route as RouteName, priority, ...times };
+}
+
 /** Records the outcomes of calls in the order in which they occur. */
 class CallRecorder {
   public readonly lines: string[] = [];
@@ -165,24 +171,20 @@
   const clock = new ManualClock();
   const admission = new AdmissionController({ ...SERVICE, queue: 8 }, clock, 0);
   const durations = { check: 20, lookup: 200, report: 400 };
-  const requestOf = (route: string, priority: Priority) => {
-    const times = { deadline: clock.now() + 60_000, objective: clock.now() + 60_000 };
-    return { route: route as RouteName, priority, ...times };
-  };
   for (const [route, durationMs] of Object.entries(durations)) {
-    const release = await admission.acquire(requestOf(route, INTERACTIVE), NEVER);
+    const release = await admission.acquire(requestOf(route, clock, INTERACTIVE), NEVER);
     clock.advance(durationMs);
     release();
   }
   for (let call = 0; call < 5; call += 1) {
-    void admission.acquire(requestOf('report', BACKGROUND), NEVER);
+    void admission.acquire(requestOf('report', clock, BACKGROUND), NEVER);
   }
-  void admission.acquire(requestOf('lookup', INTERACTIVE), NEVER);
+  void admission.acquire(requestOf('lookup', clock, INTERACTIVE), NEVER);
   const ahead = {
-    check: admission.callsAhead(requestOf('check', BACKGROUND)),
-    lookup: admission.callsAhead(requestOf('lookup', INTERACTIVE)),
-    report: admission.callsAhead(requestOf('report', BACKGROUND)),
-    unknown: admission.callsAhead(requestOf('unknown', BACKGROUND)),
+    check: admission.callsAhead(requestOf('check', clock, BACKGROUND)),
+    lookup: admission.callsAhead(requestOf('lookup', clock, INTERACTIVE)),
+    report: admission.callsAhead(requestOf('report', clock, BACKGROUND)),
+    unknown: admission.callsAhead(requestOf('unknown', clock, BACKGROUND)),
   };
   assert.equal(ahead, { check: 2, lookup: 3, report: 6, unknown: 6 });
 });
@@ -190,12 +192,8 @@
 test('no slots are kept for waits that short calls cause themselves', async () => {
   const clock = new ManualClock();
   const admission = new AdmissionController({ ...SERVICE, slots: 4, queue: 100 }, clock, 0);
-  const requestOf = (route: string) => {
-    const times = { deadline: clock.now() + 60_000, objective: clock.now() + 60_000 };
-    return { route: route as RouteName, priority: INTERACTIVE, ...times };
-  };
   const use = async (route: string, durationMs: number) => {
-    const release = await admission.acquire(requestOf(route), NEVER);
+    const release = await admission.acquire(requestOf(route, clock), NEVER);
     clock.advance(durationMs);
     release();
   };
@@ -204,7 +202,7 @@
   const releases: Release[] = [];
   const keep = (release: Release) => releases.push(release);
   for (let call = 0; call < 40; call += 1) {
-    void admission.acquire(requestOf('check'), NEVER).then(keep);
+    void admission.acquire(requestOf('check', clock), NEVER).then(keep);
   }
   for (let turn = 0; turn < 10; turn += 1) {
     await flushPromises();
@@ -217,13 +215,11 @@
 test('slots are kept while short calls wait for long ones, and released while they are idle', async () => {
   const clock = new ManualClock();
   const admission = new AdmissionController({ ...SERVICE, slots: 4, queue: 100 }, clock, 0);
-  const requestOf = (route: string) => {
-    const times = { deadline: clock.now() + 60_000, objective: clock.now() + 60_000 };
-    return { route: route as RouteName, priority: INTERACTIVE, ...times };
-  };
   const releases: Release[] = [];
   const acquire = (route: string) =>
-    void admission.acquire(requestOf(route), NEVER).then((release) => releases.push(release));
+    void admission
+      .acquire(requestOf(route, clock), NEVER)
+      .then((release) => releases.push(release));
   const end = async (ms: number) => {
     clock.advance(ms);
     for (const release of releases.splice(0)) release();
--- a/stand-in/InnerCallReplay.ts
+++ b/stand-in/InnerCallReplay.ts
@@ -1,12 +1,5 @@
 import SeededRandom from '../src/common/SeededRandom';
-import type {
-  Address,
-  DaemonId,
-  Incarnation,
-  RouteName,
-  ServiceName,
-  ZoneName,
-} from '../src/common/Types';
+import type { DaemonId, RouteName, ServiceName, ZoneName } from '../src/common/Types';
 import AdmissionController from '../src/request/AdmissionController';
 import CancelController from '../src/request/CancelController';
 import ForecastBalancer from '../src/request/ForecastBalancer';
@@ -14,6 +7,7 @@
 import RetryAdvice from '../src/request/RetryAdvice';
 import type { Balancer, Upstream, UpstreamLoad } from '../src/request/Types';
 import ZoneOverflow from '../src/request/ZoneOverflow';
+import createUpstream from './createUpstream';
 import VirtualTimeline from './VirtualTimeline';
 
 const QUEUE_PER_SLOT = 8;
@@ -101,7 +95,7 @@
     this.upstreams = Object.entries(scenario.services).flatMap(([service, { slots, speeds }]) =>
       speeds.map((speed, index) => ({
         speed,
-        upstream: InnerCallReplay.toUpstream(service, `${service}-${index}`, slots),
+        upstream: createUpstream(service, `${service}-${index}`, ZONE, slots),
         admission: this.createAdmission(slots),
         balancer: this.createBalancer(),
       })),
@@ -127,23 +121,9 @@
     return this.counts;
   }
 
-  private static toUpstream(service: string, name: string, slots: number): Upstream {
-    return {
-      service: service as ServiceName,
-      daemon: name as DaemonId,
-      incarnation: 1 as Incarnation,
-      address: name as Address,
-      zone: ZONE,
-      suspect: false,
-      healthHint: true,
-      servingSince: -60_000,
-      slots,
-    };
-  }
-
   private createAdmission(slots: number): AdmissionController {
     const limits = { slots, queue: QUEUE_PER_SLOT * slots, warmUpMs: 0 };
-    return new AdmissionController(limits, this.timeline.clock, -60_000, () => true);
+    return new AdmissionController(limits, this.timeline.clock, 0, () => true);
   }
 
   private createBalancer(): Balancer {
--- a/stand-in/PlacementReplay.ts
+++ b/stand-in/PlacementReplay.ts
@@ -1,15 +1,9 @@
 import SeededRandom from '../src/common/SeededRandom';
-import type {
-  Address,
-  DaemonId,
-  Incarnation,
-  RouteName,
-  ServiceName,
-  ZoneName,
-} from '../src/common/Types';
+import type { DaemonId, RouteName, ServiceName, ZoneName } from '../src/common/Types';
 import ForecastBalancer from '../src/request/ForecastBalancer';
 import type { Upstream, UpstreamLoad } from '../src/request/Types';
 import ZoneOverflow from '../src/request/ZoneOverflow';
+import createUpstream from './createUpstream';
 import ReplayServer from './ReplayServer';
 import TickSchedule from './TickSchedule';
 
@@ -124,7 +118,8 @@
     this.delayMs = options.delayMs ?? { near: 0.3, far: 1 };
     this.servers = new Map(
       options.upstreams.map((spec, index) => {
-        const upstream = PlacementReplay.toUpstream(spec, index);
+        const { zone, slots, service = 'stock' } = spec;
+        const upstream = createUpstream(service, `${zone}-${index}`, zone, slots);
         return [upstream.daemon, new ReplayServer(upstream, spec)];
       }),
     );
@@ -158,20 +153,6 @@
       .map(({ overflow }) => overflow.shares.get(service as ServiceName));
   }
 
-  private static toUpstream({ zone, slots, service }: ReplayUpstream, index: number): Upstream {
-    return {
-      service: (service ?? 'stock') as ServiceName,
-      daemon: `${zone}-${index}` as DaemonId,
-      incarnation: 1 as Incarnation,
-      address: `${zone}-${index}` as Address,
-      zone: zone as ZoneName,
-      suspect: false,
-      healthHint: true,
-      servingSince: -60_000,
-      slots,
-    };
-  }
-
   private upstreamsOf(service: ServiceName): readonly Upstream[] {
     let upstreams = this.upstreams.get(service);
     if (!upstreams) {
