--- a/src/request/AdmissionController.test.ts
+++ b/src/request/AdmissionController.test.ts
@@ -167,7 +167,7 @@
   assert.equal(counts, [2, 4, 8]);
 });
 
-test('queued calls that a call of higher rank would not wait for don’t count as ahead of it', async () => {
+test('queued calls that a call of higher rank would not wait for do not count as ahead of it', async () => {
   const clock = new ManualClock();
   const admission = new AdmissionController({ ...SERVICE, queue: 8 }, clock, 0);
   const durations = { check: 20, lookup: 200, report: 400 };
--- a/src/request/SlotReserve.replay.test.ts
+++ b/src/request/SlotReserve.replay.test.ts
@@ -1,6 +1,6 @@
 /**
  * Replays, in virtual time, a service whose runs make inner calls to another one, to which long calls come 2.4 times as
- * often for six seconds: 33 and 29 upstreams of 4 slots, at four fifths of their capacity before.
+ * often for six seconds: 33 and 29 upstreams of 4 slots, near their capacity before.
  *
  * @packageDocumentation
  */
@@ -79,7 +79,7 @@
   return (inTime + late / 8) / calls;
 }
 
-test('runs don’t hold their slots for inner calls that wait behind long calls elsewhere', async () => {
+test('runs do not hold their slots for inner calls that wait behind long calls elsewhere', async () => {
   const replay = new InnerCallReplay({
     seed: 56,
     runMs: RUN_MS,
