--- a/stand-in/InnerCallReplay.ts
+++ b/stand-in/InnerCallReplay.ts
@@ -60,9 +60,6 @@
   late: number;
   refused: number;
   failed: number;
-  /** Sum of the times that its runs held their slots, in milliseconds. */
-  heldMs: number;
-  runs: number;
 }
 
 interface ReplayedUpstream {
@@ -246,16 +243,12 @@
     const { name, priority, inner } = kind;
     const request = { route: name as RouteName, priority, ...times };
     const release = await admission.acquire(request, new CancelController());
-    const startedAt = clock.now();
-    await this.timeline.until(startedAt + this.workMs(kind) / speed);
+    await this.timeline.until(clock.now() + this.workMs(kind) / speed);
     let succeeded = clock.now() <= times.deadline;
     if (inner && this.fraction() < inner.share) {
       const calls = Array.from({ length: inner.times }, () => this.innerCall(inner.kind, balancer));
       succeeded = (await Promise.all(calls)).every(Boolean) && succeeded;
     }
-    const counts = this.countsOf(name);
-    counts.heldMs += clock.now() - startedAt;
-    counts.runs += 1;
     release();
     return succeeded ? 'answered' : 'failed';
   }
@@ -278,7 +271,7 @@
   private countsOf(name: string): ReplayedCounts {
     let counts = this.counts.get(name);
     if (!counts) {
-      counts = { calls: 0, inTime: 0, late: 0, refused: 0, failed: 0, heldMs: 0, runs: 0 };
+      counts = { calls: 0, inTime: 0, late: 0, refused: 0, failed: 0 };
       this.counts.set(name, counts);
     }
     return counts;
