Send large calls to other daemons in fragments

Cause, one of two: a frame is masked as a whole, which copies it, so that each attempt of a call holds two copies of its body besides the body itself.

Change: frames above 256 KiB are sent as fragments of one message, each once the one before it is written, so that only one fragment is copied at a time. Daemons of earlier builds read them as they are: this is WebSocket's own framing. Frames that are sent meanwhile follow in their order. What is left of a frame counts as unsent, so that a channel takes no calls while its peer isn't reading, as before.

--- a/src/request/CallChannel.test.ts
+++ b/src/request/CallChannel.test.ts
@@ -185,6 +185,51 @@
   });
 });
 
+// Guards against frames between the fragments of another one, and a cancel that overtakes its call.
+test('calls and cancels that are sent during a call of many fragments follow it', async () => {
+  const events: string[] = [];
+  const body = Buffer.from(Array.from({ length: 3_000_000 }, (_, index) => index % 251));
+  const handler = new StubChannelCalls((frame, cancel) => {
+    const isWhole = frame.body === null || frame.body.equals(body);
+    events.push(`${frame.path}: ${frame.body?.length ?? 'no'} bytes, ${isWhole}`);
+    if (frame.path !== '/cancelled') return Promise.resolve(completeAnswer(200, frame.path));
+    return new Promise((_resolve, reject) => {
+      cancel.addEventListener('abort', () => {
+        events.push('cancelled');
+        reject(new Error('cancelled'));
+      });
+    });
+  });
+  await withChannels(handler, async (channels, address, sockets) => {
+    const send = (path: string, largeBody: Buffer | null, cancel = new CancelController()) =>
+      channels.get(address).send({ ...call(path), body: largeBody }, cancel).reply;
+    const answerOf = async (reply: ReturnType<typeof send>) => bodyOf((await reply) as Answer);
+    assert.is(await answerOf(send('/first', null)), '/first');
+    const cancel = new CancelController();
+    const cancelled = send('/cancelled', body, cancel);
+    const unsent = new CancelController();
+    const replies = [send('/second', null), send('/third', body), send('/fourth', null)];
+    const neverSent = send('/unsent', null, unsent);
+    cancel.abort('aborted');
+    unsent.abort('aborted');
+    const errors = await Promise.all(
+      [cancelled, neverSent].map((reply) => reply.catch((error: ExchangeError) => error.sent)),
+    );
+    assert.equal(errors, [true, false]);
+    assert.equal(await Promise.all(replies.map(answerOf)), ['/second', '/third', '/fourth']);
+    assert.is(sockets.length, 1);
+  });
+  assert.snapshot(
+    events.join('\n'),
+    `/first: no bytes, true
+/cancelled: 3000000 bytes, true
+/second: no bytes, true
+/third: 3000000 bytes, true
+/fourth: no bytes, true
+cancelled`,
+  );
+});
+
 test('a slow reader pauses the source of its body without delaying other calls', async () => {
   const chunks = 200;
   let sent = 0;
--- a/src/request/CallChannel.ts
+++ b/src/request/CallChannel.ts
@@ -24,6 +24,8 @@
  * reading.
  */
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
+/** Size in bytes of the fragments in which a larger frame is sent; each is copied to be masked. */
+const FRAGMENT_BYTES = 256 * 1024;
 
 /** A call to send; the channel assigns its number. */
 export type OutgoingCall = Omit<CallFrame, 'kind' | 'number'>;
@@ -74,9 +76,12 @@
 
   private readonly calls = new Map<ChannelCallNumber, PendingCall>();
 
-  /** Functions that send frames, to be called when the connection is open. */
+  /** Functions that send frames, to be called when the connection is open and no fragments are left. */
   private deferredSends: (() => void)[] = [];
 
+  /** Number of bytes of a frame of which the other fragments were sent. */
+  private unsentFragmentBytes = 0;
+
   private lastNumber = 0;
 
   private receivedAt: number;
@@ -102,7 +107,10 @@
       maxPayload: MAX_FRAME_BYTES,
     });
     this.socket.on('upgrade', ({ socket }) => this.initSocket(socket));
-    this.socket.on('open', () => this.flushDeferred());
+    this.socket.on('open', () => {
+      this.markReceived();
+      this.flushDeferred();
+    });
     this.socket.on('message', (data: Buffer) => this.receive(data));
     this.socket.on('pong', () => this.markReceived());
     this.socket.on('error', (error: NodeJS.ErrnoException) =>
@@ -152,12 +160,12 @@
       };
     });
     this.calls.set(number, pending!);
-    if (this.isClosed || this.socket.bufferedAmount > MAX_UNSENT_BYTES) {
+    if (this.isClosed || this.unsentBytes > MAX_UNSENT_BYTES) {
       this.failCall(number, 'the channel takes no call', false);
     } else if (signal.aborted) abort();
     else {
       signal.addEventListener('abort', abort, { once: true });
-      this.whenOpen(() => {
+      this.whenWritable(() => {
         if (!this.calls.has(number)) return;
         pending!.sent = true;
         this.write({ kind: 'call', number, ...call });
@@ -198,22 +206,52 @@
     this.receivedAt = this.options.clock.now();
   }
 
+  private get unsentBytes(): number {
+    return this.socket.bufferedAmount + this.unsentFragmentBytes;
+  }
+
+  /** Whether a frame can be sent now; between the fragments of one, no other frame may be sent. */
+  private get isWritable(): boolean {
+    return this.isOpen && this.unsentFragmentBytes === 0;
+  }
+
   private flushDeferred(): void {
-    this.markReceived();
     const { deferredSends } = this;
     this.deferredSends = [];
-    for (const send of deferredSends) send();
+    for (const send of deferredSends) this.whenWritable(send);
   }
 
-  private whenOpen(send: () => void): void {
-    if (this.isOpen) send();
+  private whenWritable(send: () => void): void {
+    if (this.isWritable) send();
     else this.deferredSends.push(send);
   }
 
+  /** Sends a frame, unless the connection isn't open. */
   private write(frame: RequestFrame): void {
     if (!this.isOpen) return;
-    this.writeBatch?.cork();
-    this.socket.send(encodeFrame(frame, this.options.clock.now()));
+    this.whenWritable(() => {
+      const bytes = encodeFrame(frame, this.options.clock.now());
+      this.writeBatch?.cork();
+      if (bytes.length <= FRAGMENT_BYTES) this.socket.send(bytes);
+      else void this.sendFragments(bytes);
+    });
+  }
+
+  /** Sends a large frame part by part, so that only one part at a time is copied. */
+  private async sendFragments(bytes: Uint8Array): Promise<void> {
+    this.unsentFragmentBytes = bytes.length;
+    while (this.unsentFragmentBytes > 0) {
+      const start = bytes.length - this.unsentFragmentBytes;
+      const fragment = bytes.subarray(start, start + FRAGMENT_BYTES);
+      const fin = start + fragment.length === bytes.length;
+      // An error closes the connection, which fails the calls on it.
+      await new Promise<unknown>((resolve) => {
+        this.socket.send(fragment, { binary: true, fin }, resolve);
+      });
+      if (this.isClosed) return;
+      this.unsentFragmentBytes -= fragment.length;
+    }
+    this.flushDeferred();
   }
 
   private receive(data: Buffer): void {
