Bound the memory of callers' request bodies

Cause: only the number of open calls and the size of one body were bounded, not the bytes of all; and a body was joined from its parts, which holds it twice.

Change: bodies above 64 KiB take their largest possible size from calls.body_memory (64 MiB) before they are read on, in their order, and give it back when their calls end. The wait is in the call's log line and in the statistics of the route (stage `memory`).

--- a/src/process/callerPipeline.test.ts
+++ b/src/process/callerPipeline.test.ts
@@ -113,7 +113,11 @@
       clock: new SystemClock(),
       random: new SeededRandom(1),
       names: {},
-      limits: { maxBodyBytes: () => MAX_BODY_BYTES, maxOpenCalls: 1_000 },
+      limits: {
+        maxBodyBytes: () => MAX_BODY_BYTES,
+        maxOpenCalls: 1_000,
+        bodyMemoryBytes: MAX_BODY_BYTES,
+      },
       localRuns: { isIdle: true, idleShare: 1, repeatShare: 0 },
       retryAllowance: {
         windowMs: () => 1,
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -103,6 +103,7 @@
       max_body_bytes: integer(1, 256 * MEBIBYTE, MEBIBYTE),
       max_header_bytes: integer(1024, MEBIBYTE, 16 * 1024),
       max_open: integer(1, 1_000_000, 2_000),
+      body_memory: integer(MEBIBYTE, 4096 * MEBIBYTE, 64 * MEBIBYTE),
       connect: duration('1s'),
       quiet: duration('300ms'),
       silence: duration('1s'),
--- a/src/process/wireDaemon.ts
+++ b/src/process/wireDaemon.ts
@@ -579,6 +579,7 @@
     limits: {
       maxBodyBytes: maxBodyBytesReader(settingsHolder, versions),
       maxOpenCalls: calls.max_open,
+      bodyMemoryBytes: calls.body_memory,
     },
     retryAllowance: {
       windowMs: () => retries().window,
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -4,6 +4,7 @@
 import type { CurrentVersion, Organisation, Quota, Route } from '../version/Types';
 import AdaptiveThrottle from './AdaptiveThrottle';
 import Authenticator, { type AuthenticationServices } from './Authenticator';
+import BodyMemory, { type ReleaseMemory } from './BodyMemory';
 import Call, { type CallServices, type CallPolicy } from './Call';
 import { ATTEMPTS_HEADER, positiveHeader } from './callHeaders';
 import type CallError from './CallError';
@@ -55,6 +56,8 @@
   readonly maxBodyBytes: () => number;
   /** Maximum number of calls open at the same time; further calls are refused as not run. */
   readonly maxOpenCalls: number;
+  /** Maximum size of all bodies that are in memory, in bytes, besides small ones. */
+  readonly bodyMemoryBytes: number;
 }
 
 /** Result of a finished call, for the metrics. */
@@ -113,6 +116,9 @@
   acceptedAfterMs?: number;
   /** Milliseconds that the call waited for a credit of its organisation's quota. */
   creditMs?: number;
+  /** Milliseconds that the call waited for memory for its body. */
+  memoryMs?: number;
+  releaseMemory?: ReleaseMemory;
   call?: Call;
   outcome: Outcome;
   reason?: string;
@@ -145,6 +151,8 @@
 
   private readonly innerCalls: InnerCalls;
 
+  private readonly bodyMemory: BodyMemory;
+
   /** Resolves the promise of `whenIdle`, which waits for all calls to finish. */
   private resolveIdle: (() => void) | undefined;
 
@@ -153,6 +161,7 @@
     this.stopGuard = new StopGuard(services.clock);
     this.authenticator = new Authenticator(services);
     this.innerCalls = new InnerCalls(services.localRuns);
+    this.bodyMemory = new BodyMemory(services.limits.bodyMemoryBytes);
     this.statistics = new RouteStatistics('Calls of a route.', services.logger, services.clock);
   }
 
@@ -245,6 +254,7 @@
       await this.refuse(this.toRefusal(error as Error), message, response, record);
     } finally {
       this.active -= 1;
+      record.releaseMemory?.();
       const durationMs = this.services.clock.now() - startedAt - (record.heldMs ?? 0);
       this.services.onCallEnd({ outcome: record.outcome, status: response.statusCode, durationMs });
       this.log(record, response.statusCode, durationMs);
@@ -305,7 +315,9 @@
       });
     }
     if (this.active > limits.maxOpenCalls) throw new NotRunError('too many calls are open here');
-    const request = await readRequest(message, limits.maxBodyBytes(), names);
+    const request = await readRequest(message, limits.maxBodyBytes(), names, (bytes) =>
+      this.takeMemory(bytes, record),
+    );
     const route = this.match(request.method, message.headers.host!, request.path);
     if (!route) {
       const refusal = this.noRoute();
@@ -343,7 +355,7 @@
   ): Promise<void> {
     const { clock, names, overloadGuard, versions, waitedMs, acceptedAfterMs } = this.services;
     const readDelayMs = waitedMs();
-    const arrivedAt = clock.now() - readDelayMs;
+    const arrivedAt = clock.now() - readDelayMs - (record.memoryMs ?? 0);
     const acceptDelayMs = acceptedAfterMs(message.socket);
     Object.assign(record, {
       waitedMs: Math.round(readDelayMs),
@@ -400,6 +412,17 @@
     return `route ${name} is closed: ${closed}`;
   }
 
+  /** Waits for memory for the body of a call, which holds it until the call ends. */
+  private async takeMemory(bytes: number, record: CallLogRecord): Promise<void> {
+    const { clock } = this.services;
+    const askedAt = clock.now();
+    try {
+      Object.assign(record, { releaseMemory: await this.bodyMemory.take(bytes) });
+    } finally {
+      Object.assign(record, { memoryMs: clock.now() - askedAt });
+    }
+  }
+
   private async takeCredit(
     organisation: Organisation | undefined,
     record: CallLogRecord,
@@ -523,6 +546,7 @@
       waitedMs: record.waitedMs,
       acceptedAfterMs: record.acceptedAfterMs,
       creditMs: record.creditMs && Math.round(record.creditMs),
+      memoryMs: record.memoryMs && Math.round(record.memoryMs),
       connection: record.position.connection,
       ahead: record.position.ahead,
       heldMs: Math.round(record.heldMs ?? 0),
@@ -545,6 +569,7 @@
         accept: acceptMs,
         read: readMs,
         ...(record.creditMs !== undefined && { credit: record.creditMs }),
+        ...(record.memoryMs !== undefined && { memory: record.memoryMs }),
         ...(longestAttemptMs !== undefined && { longestAttempt: longestAttemptMs }),
         total: durationMs,
       },
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -5,6 +5,7 @@
 import { test } from 'uvu';
 import Fleet, { eventually } from '../stand-in/Fleet';
 import {
+  fetchDump,
   publish,
   scenario,
   startDaemons,
@@ -108,14 +109,6 @@
   });
 }
 
-async function fetchDump({ ready }: DaemonProcess) {
-  const answer = await fetch(`http://${ready.listening.control}/dump`);
-  return (await answer.json()) as {
-    memory: { residentBytes: number };
-    upstream: { running: number } | undefined;
-  };
-}
-
 /**
  * Sends calls with endless responses through one daemon of a mesh of two; the upstream is beside the
  * second. Half of the callers read nothing until the daemons have aborted all responses. Checks that
--- a/test/restoredStore.test.ts
+++ b/test/restoredStore.test.ts
@@ -8,6 +8,7 @@
 import {
   OPERATOR_HOST,
   operatorConfiguration,
+  pollUntil,
   scenario,
   SHORT_PERIODS,
   VersionMonitor,
@@ -71,7 +72,6 @@
 );
 
 const BOUND_MS = 3_000;
-const POLL_INTERVAL_MS = 50;
 const KEPT_KEY = 'key-that-is-kept';
 const REMOVED_KEY = 'key-that-is-removed';
 
@@ -89,19 +89,6 @@
   return String(headers[REASON_HEADER]).includes('has no upstream') ? 'accepted' : `${statusCode}`;
 }
 
-/** Repeats an action until a promise settles, at least once. */
-async function pollUntil(end: Promise<unknown>, action: () => Promise<unknown>): Promise<void> {
-  let hasEnded = false;
-  const ended = end.finally(() => {
-    hasEnded = true;
-  });
-  do {
-    await action();
-    await delay(POLL_INTERVAL_MS);
-  } while (!hasEnded);
-  await ended;
-}
-
 // Guards against a daemon that starts as the store comes back from a copy, and takes a removed key for valid.
 scenario(
   'a key stays removed at a daemon that restarts with a store that lost the removal',
--- a/test/support.ts
+++ b/test/support.ts
@@ -44,6 +44,9 @@
   upstream: 'lease = "3s"',
 };
 
+/** Interval at which {@link pollUntil} repeats an action, in milliseconds. */
+const POLL_INTERVAL_MS = 20;
+
 /** Host name of the routes in {@link operatorConfiguration}. */
 export const OPERATOR_HOST = 'hulo84.example';
 
@@ -258,6 +261,36 @@
   });
 }
 
+/**
+ * Repeats an action until a promise settles, at least once.
+ *
+ * @param end - Ends the repetitions; its error is passed on.
+ * @param action - What is repeated.
+ */
+export async function pollUntil(
+  end: Promise<unknown>,
+  action: () => Promise<unknown>,
+): Promise<void> {
+  let hasEnded = false;
+  const ended = end.finally(() => {
+    hasEnded = true;
+  });
+  do {
+    await action();
+    await delay(POLL_INTERVAL_MS);
+  } while (!hasEnded);
+  await ended;
+}
+
+/** @returns What a daemon dumps of its memory and of the upstream beside it. */
+export async function fetchDump({ ready }: DaemonProcess) {
+  const answer = await fetch(`http://${ready.listening.control}/dump`);
+  return (await answer.json()) as {
+    memory: { residentBytes: number };
+    upstream: { running: number } | undefined;
+  };
+}
+
 /** Polls the versions in force on daemons and records each return of a daemon to an older one. */
 export class VersionMonitor {
   public readonly regressions: string[] = [];
