--- a/test/largeBodies.test.ts
+++ b/test/largeBodies.test.ts
@@ -50,7 +50,7 @@
         const dumps = await Promise.all(daemons.map(fetchDump));
         residentBytes = Math.max(residentBytes, ...dumps.map(({ memory }) => memory.residentBytes));
       });
-    assert.ok(residentBytes < MEMORY_LIMIT_BYTES, `${Math.round(residentBytes / 1e6)} MB`);
+      assert.ok(residentBytes < MEMORY_LIMIT_BYTES, `${Math.round(residentBytes / 1e6)} MB`);
       // The connection of an upload that isn't read is closed, which its sender may see before the refusal.
       const outcomes = (await uploads).map((upload) =>
         upload.status === 'fulfilled' ? upload.value : 'not read',
