End the process once its planned stop is over

Cause: the stop itself returns in time (5.84 s); the process then lived on while a probe of the frozen daemon was under way, as it ended only when nothing kept its event loop alive.

Evidence: active resources after the stop (one TCP socket, one timer, gone when the process exits at 6.86 s).

Change: `run` ends the process when the stop is over and its result is written.

The new test never ended before.

--- a/src/command/run.ts
+++ b/src/command/run.ts
@@ -36,6 +36,9 @@
     output.print(JSON.stringify({ listening: daemon.addresses }));
     await signals.stopRequested;
     await daemon.stop();
+    // Probes of lost daemons and requests to them may still be under way, which would delay the exit by up to
+    // their timeouts. The exit code is set by then.
+    setImmediate(() => process.exit());
     return { exitCode: EXIT_CODES.ok, value: { stopped: true } };
   },
 };
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -34,6 +34,27 @@
   }
 });
 
+// Guards against a stop that outlasts its time, as a probe of a lost daemon is still under way.
+test('a stopped daemon exits with code 0 though something still keeps its event loop alive', async () => {
+  const fleet = new Fleet();
+  try {
+    await fleet.startLog();
+    const file = fleet.tempPath('keepAlive.cjs');
+    writeFileSync(file, 'setInterval(() => undefined, 3_600_000);');
+    const daemon = await fleet.startDaemon({
+      name: 'stopping',
+      zone: 'coq',
+      extra: { daemon: 'leave = "100ms"\ndrain = "1s"' },
+      nodeArguments: ['--require', file],
+    });
+    daemon.child.kill('SIGTERM');
+    await eventually('the daemon has exited', () => daemon.child.exitCode !== null);
+    assert.is(daemon.child.exitCode, 0);
+  } finally {
+    await fleet.dispose();
+  }
+});
+
 test('a stopping daemon still passes calls of other daemons to its upstream', async () => {
   const fleet = new Fleet();
   try {
