Take memory for a chunked body as it grows

Seen by reading the change: a chunked body above 64 KiB took as much memory as the largest one may have, so that on the platform (64 MiB of both) only one of 100 KB was read at a time, and others were refused after two seconds.

Change: its buffer doubles, and the body takes what it lacks. A body never waits for what it holds itself. Two large chunked ones may each hold a part that the other one lacks; one of them is refused then.

--- a/src/request/BodyMemory.ts
+++ b/src/request/BodyMemory.ts
@@ -1,12 +1,9 @@
-import { E_TIMEOUT, Semaphore, withTimeout, type SemaphoreInterface } from 'async-mutex';
-import NotRunError from './NotRunError';
+import { Semaphore, withTimeout, type SemaphoreInterface } from 'async-mutex';
+import BodyShare from './BodyShare';
 
-/** Longest wait for memory, in ms; a caller whose request isn't read for longer tries another daemon sooner. */
+/** Longest wait for memory, in milliseconds; after that the caller should try another daemon. */
 const MAX_WAIT_MS = 2_000;
 
-/** Gives the memory of a body back; calls after the first have no effect. */
-export type ReleaseMemory = () => void;
-
 /**
  * Bounds the memory that the bodies of callers' requests take together. It answers the load of several bodies
  * near the allowed size at once, which alone pass the limit of a VM; they are then read one after another.
@@ -25,20 +22,8 @@
     this.semaphore = withTimeout(new Semaphore(maxBytes), maxWaitMs);
   }
 
-  /**
-   * Waits, in the order of the calls, until there is memory for a body.
-   *
-   * @param bytes - Size of the body, or its upper bound.
-   * @returns Gives the memory back.
-   * @throws NotRunError - There was none for too long.
-   */
-  public async take(bytes: number): Promise<ReleaseMemory> {
-    try {
-      const [, release] = await this.semaphore.acquire(Math.min(bytes, this.maxBytes));
-      return release;
-    } catch (error) {
-      if (error !== E_TIMEOUT) throw error;
-      throw new NotRunError('the bodies of other requests take the memory for bodies');
-    }
+  /** @returns The share of a further body, which holds nothing yet. */
+  public share(): BodyShare {
+    return new BodyShare(this.semaphore, this.maxBytes);
   }
 }
--- a/src/request/CallHandler.ts
+++ b/src/request/CallHandler.ts
@@ -4,7 +4,8 @@
 import type { CurrentVersion, Organisation, Quota, Route } from '../version/Types';
 import AdaptiveThrottle from './AdaptiveThrottle';
 import Authenticator, { type AuthenticationServices } from './Authenticator';
-import BodyMemory, { type ReleaseMemory } from './BodyMemory';
+import BodyMemory from './BodyMemory';
+import type BodyShare from './BodyShare';
 import Call, { type CallServices, type CallPolicy } from './Call';
 import { ATTEMPTS_HEADER, positiveHeader } from './callHeaders';
 import type CallError from './CallError';
@@ -118,7 +119,7 @@
   creditMs?: number;
   /** Milliseconds that the call waited for memory for its body. */
   memoryMs?: number;
-  releaseMemory?: ReleaseMemory;
+  bodyShare?: BodyShare;
   call?: Call;
   outcome: Outcome;
   reason?: string;
@@ -254,7 +255,7 @@
       await this.refuse(this.toRefusal(error as Error), message, response, record);
     } finally {
       this.active -= 1;
-      record.releaseMemory?.();
+      record.bodyShare?.release();
       const durationMs = this.services.clock.now() - startedAt - (record.heldMs ?? 0);
       this.services.onCallEnd({ outcome: record.outcome, status: response.statusCode, durationMs });
       this.log(record, response.statusCode, durationMs);
@@ -415,11 +416,13 @@
   /** Waits for memory for the body of a call, which holds it until the call ends. */
   private async takeMemory(bytes: number, record: CallLogRecord): Promise<void> {
     const { clock } = this.services;
+    const bodyShare = record.bodyShare ?? this.bodyMemory.share();
     const askedAt = clock.now();
     try {
-      Object.assign(record, { releaseMemory: await this.bodyMemory.take(bytes) });
+      await bodyShare.grow(bytes);
     } finally {
-      Object.assign(record, { memoryMs: clock.now() - askedAt });
+      const memoryMs = (record.memoryMs ?? 0) + clock.now() - askedAt;
+      Object.assign(record, { bodyShare, memoryMs });
     }
   }
 
--- a/src/request/readRequest.ts
+++ b/src/request/readRequest.ts
@@ -11,7 +11,7 @@
 /**
  * Waits until there is memory for a body.
  *
- * @param bytes - Upper bound of its size.
+ * @param bytes - Size of its buffer, which a later call may raise.
  * @throws NotRunError - There was none for too long.
  */
 export type TakeMemory = (bytes: number) => Promise<void>;
@@ -31,7 +31,7 @@
   if (!message.url?.startsWith('/')) throw new RequestError(400, 'the target is no absolute path');
 }
 
-/** Collects a body; unless it is small, in one buffer of its largest possible size, as joining parts doubles it. */
+/** Collects a body; unless it is small, in one buffer with room for more, as joining its parts doubles it. */
 class BodyCollector {
   private readonly parts: Buffer[] = [];
 
@@ -40,11 +40,13 @@
   private bytes = 0;
 
   /**
-   * @param largestBytes - Upper bound of the size of the body, in bytes.
-   * @param takeMemory - Waits until there is memory for that many bytes.
+   * @param length - Declared length of the body in bytes; `undefined` for a chunked one.
+   * @param maxBytes - Upper bound of its size, in bytes.
+   * @param takeMemory - Waits until there is memory for the buffer.
    */
   public constructor(
-    private readonly largestBytes: number,
+    private readonly length: number | undefined,
+    private readonly maxBytes: number,
     private readonly takeMemory: TakeMemory,
   ) {}
 
@@ -57,18 +59,22 @@
   /** @returns Whether the part was added; otherwise the body is larger than the upper bound. */
   public async add(part: Buffer): Promise<boolean> {
     const bytes = this.bytes + part.length;
-    if (bytes > this.largestBytes) return false;
-    if (bytes > SMALL_BODY_BYTES) this.storage ??= await this.allocate();
+    if (bytes > this.maxBytes) return false;
+    if (bytes > SMALL_BODY_BYTES) this.storage = await this.reserve(bytes);
     if (this.storage) part.copy(this.storage, this.bytes);
     else this.parts.push(part);
     this.bytes = bytes;
     return true;
   }
 
-  private async allocate(): Promise<Buffer> {
-    await this.takeMemory(this.largestBytes);
-    const storage = Buffer.allocUnsafeSlow(this.largestBytes);
-    Buffer.concat(this.parts).copy(storage);
+  /** Returns a buffer with room for so many bytes that holds what was collected. */
+  private async reserve(bytes: number): Promise<Buffer> {
+    if (this.storage && bytes <= this.storage.length) return this.storage;
+    const capacity = this.length ?? Math.min(2 * bytes, this.maxBytes);
+    await this.takeMemory(capacity);
+    const collected = this.body;
+    const storage = Buffer.allocUnsafeSlow(capacity);
+    collected.copy(storage);
     this.parts.length = 0;
     return storage;
   }
@@ -84,7 +90,8 @@
   if (Number(length) > maxBytes) {
     throw new RequestError(413, `a body of ${length} bytes, at most ${maxBytes}`);
   }
-  const collector = new BodyCollector(Number(length ?? maxBytes), takeMemory);
+  const declared = length === undefined ? undefined : Number(length);
+  const collector = new BodyCollector(declared, maxBytes, takeMemory);
   let isComplete = true;
   try {
     // Leaving this loop early must not destroy the request: that would close the caller's
